--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SETUP := $(VENV)/.installed
+
+.PHONY: setup demo test lint matrix bench slopes
+
+setup: $(SETUP)
+
+$(SETUP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(SETUP)
+
+demo: setup
+	$(BIN)/python -m fuchsiatrack_standins.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check src tests
--- /dev/null
+++ b/src/fuchsiatrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/src/fuchsiatrack/cli/main.py
@@ -0,0 +1,193 @@
+"""Entry point of `fuchsiatrack`: check, publish, revisions, status, ownership, burn."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import pathlib
+import sys
+from collections.abc import Callable
+
+from absl import app, flags
+
+from fuchsiatrack.cli import client, output
+from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.model.check import Checked, check_paths
+from fuchsiatrack.reports import burn, plot
+
+EXIT_OK = 0
+EXIT_FAULTY_SET = 1
+EXIT_USAGE = 2
+EXIT_NOT_ACCEPTED = 3
+EXIT_UNKNOWN = 4
+POLL_PERIOD = 200
+
+_LOG_URL = flags.DEFINE_string("log_url", "http://127.0.0.1:7000", "The platform's log.")
+_VM_LIST_URL = flags.DEFINE_string("vm_list_url", "http://127.0.0.1:7000", "The VM list.")
+_JSON = flags.DEFINE_bool("json", False, "Print JSON instead of a table.")
+_WAIT = flags.DEFINE_bool("wait", False, "publish: wait until the revision is in force.")
+_BASE = flags.DEFINE_integer("base", None, "publish: the revision to follow; default the latest.")
+_TIMEOUT_MS = flags.DEFINE_integer("timeout_ms", 10_000, "publish: how long to wait.")
+_PLOT = flags.DEFINE_string("plot", "", "burn: also write a chart to this SVG file.")
+
+USAGE = """usage: fuchsiatrack COMMAND [PATH...] [--flags]
+  check PATH...      check a set of objects
+  publish PATH...    check, publish and wait for the decision
+  revisions          list decisions on published sets
+  status             show daemons, leaders, services
+  ownership          show the owner of each partition
+  burn               show service-level burn"""
+
+
+def _check(paths: list[str]) -> int:
+    checked = check_paths(pathlib.Path(path) for path in paths)
+    _print_check(checked)
+    return EXIT_FAULTY_SET if checked.findings else EXIT_OK
+
+
+def _print_check(checked: Checked) -> None:
+    for finding in checked.findings:
+        print(finding, file=sys.stderr)
+    if not checked.findings:
+        print(f"{len(checked.objects.objects)} objects, no fault")
+
+
+def _publish(paths: list[str]) -> int:
+    checked = check_paths(pathlib.Path(path) for path in paths)
+    _print_check(checked)
+    if checked.findings:
+        return EXIT_FAULTY_SET
+    published = asyncio.run(
+        client.publish(_LOG_URL.value, checked.objects, _BASE.value, _TIMEOUT_MS.value)
+    )
+    decision = published.decision
+    if decision is None:
+        print(f"publish {published.offset}: not decided yet; see 'fuchsiatrack revisions'")
+        return EXIT_UNKNOWN
+    if not decision.accepted_at:
+        print(f"publish {published.offset}: rejected: {'; '.join(decision.reasons)}")
+        return EXIT_NOT_ACCEPTED
+    print(f"revision {published.offset}: accepted")
+    return asyncio.run(_wait_in_force(published.offset)) if _WAIT.value else EXIT_OK
+
+
+async def _wait_in_force(revision: int) -> int:
+    clock = SystemClock()
+    deadline = clock.now() + _TIMEOUT_MS.value
+    while True:
+        replies = await client.read_daemons(_VM_LIST_URL.value, "/status")
+        late = [r.vm for r in replies if not r.body or r.body["revision"] < revision]
+        if not late:
+            print(f"revision {revision}: in force on {len(replies)} daemons")
+            return EXIT_OK
+        if clock.now() >= deadline:
+            print(f"revision {revision}: not yet in force on {', '.join(late)}")
+            return EXIT_UNKNOWN
+        await clock.sleep(POLL_PERIOD)
+
+
+def _read(path: str) -> list[client.Reply]:
+    return asyncio.run(client.read_daemons(_VM_LIST_URL.value, path))
+
+
+def _status(paths: list[str]) -> int:
+    replies = _read("/status")
+    if _JSON.value:
+        output.print_json({reply.vm: reply.body for reply in replies})
+    else:
+        output.print_status(replies)
+    return _completeness(replies)
+
+
+def _completeness(replies: list[client.Reply]) -> int:
+    return EXIT_OK if replies and all(reply.body for reply in replies) else EXIT_UNKNOWN
+
+
+def _revisions(paths: list[str]) -> int:
+    body = _freshest(_read("/revisions"), lambda body: body["revision"])
+    if _JSON.value:
+        output.print_json(body)
+        return EXIT_OK
+    rows = (
+        (
+            item["publish"],
+            item["base"],
+            item["operator"],
+            "accepted" if item["accepted_at"] else "rejected",
+            "in force" if item["publish"] == body["revision"] else "; ".join(item["reasons"]),
+        )
+        for item in body["decisions"]
+    )
+    output.print_table(rows, ("revision", "base", "operator", "decision", ""))
+    return EXIT_OK
+
+
+def _freshest(replies: list[client.Reply], order: Callable) -> dict:
+    bodies = [reply.body for reply in replies if reply.body]
+    if not bodies:
+        raise PlatformUnavailable("no daemon answered")
+    return max(bodies, key=order)
+
+
+def _ownership(paths: list[str]) -> int:
+    body = _freshest(_read("/ownership"), _newest_fence)
+    if _JSON.value:
+        output.print_json(body)
+        return EXIT_OK
+    rows = (
+        (service, partition, owner["server"], owner["fence"], owner["target"])
+        for service, partitions in sorted(body.items())
+        for partition, owner in sorted(partitions.items())
+    )
+    output.print_table(rows, ("service", "partition", "owner", "fence", "moving to"))
+    return EXIT_OK
+
+
+def _newest_fence(body: dict) -> int:
+    owners = (owner for partitions in body.values() for owner in partitions.values())
+    return max((max(owner["fence"], owner["revoked"]) for owner in owners), default=0)
+
+
+def _burn(paths: list[str]) -> int:
+    replies = _read("/levels")
+    report = burn.build((reply.vm, reply.body) for reply in replies)
+    if _PLOT.value:
+        plot.plot_burn(report, pathlib.Path(_PLOT.value))
+    if _JSON.value:
+        output.print_json(dataclasses.asdict(report))
+    else:
+        output.print_burn(report)
+    return _completeness(replies)
+
+
+COMMANDS: dict[str, Callable[[list[str]], int]] = {
+    "check": _check,
+    "publish": _publish,
+    "revisions": _revisions,
+    "status": _status,
+    "ownership": _ownership,
+    "burn": _burn,
+}
+
+
+def _main(argv: list[str]) -> int:
+    command = COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    needs_paths = command in (_check, _publish)
+    if command is None or needs_paths != (len(argv) > 2):
+        print(USAGE, file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        return command(argv[2:])
+    except PlatformUnavailable as error:
+        print(f"fuchsiatrack: {error}", file=sys.stderr)
+        return EXIT_UNKNOWN
+
+
+def run() -> None:
+    """Run one command and exit with its code."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/fuchsiatrack/control/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons agree on through the log: terms, assignments, revisions, orders."""
--- /dev/null
+++ b/src/fuchsiatrack/control/acceptor.py
@@ -0,0 +1,78 @@
+"""The leader of the configuration: decides publishes, one after the other."""
+
+from __future__ import annotations
+
+import logging
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.leadership import CLAIM_TIMEOUT, Leadership
+from fuchsiatrack.control.records import Accept, Publish, Record, RecordId, Reject
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.control.writer import StreamWriter
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.model.check import check_documents, check_succession
+
+IDLE_WAIT = 250
+MAX_REASONS = 20
+
+log = logging.getLogger(__name__)
+
+
+class Acceptor:
+    """Accepts a publish that builds on the revision in force and passes the whole check."""
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        follower: Follower[ShardState],
+        writer: StreamWriter,
+        clock: Clock,
+    ) -> None:
+        self._leadership = leadership
+        self._follower = follower
+        self._writer = writer
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        while True:
+            await self._follower.wait_for(self._has_work, IDLE_WAIT)
+            if not self._has_work():
+                continue
+            try:
+                await self._decide_next()
+            except PlatformUnavailable as error:
+                log.info("publish stays undecided", extra={"why": str(error)})
+                await self._clock.sleep(IDLE_WAIT)
+
+    def _has_work(self) -> bool:
+        return bool(self._state.pending) and self._leadership.may_act()
+
+    @property
+    def _state(self) -> ShardState:
+        return self._follower.state
+
+    async def _decide_next(self) -> None:
+        offset, publish = min(self._state.pending.items())
+        term = self._leadership.term
+        reasons = self._reasons(publish)
+
+        def build(id: RecordId) -> Record:
+            if reasons:
+                return Reject("reject", id, term, offset, reasons)
+            return Accept("accept", id, term, offset)
+
+        await self._writer.append(build, CLAIM_TIMEOUT)
+        log.info("publish decided", extra={"publish": offset, "reasons": reasons})
+
+    def _reasons(self, publish: Publish) -> tuple[str, ...]:
+        if publish.base != self._state.revision:
+            return (f"conflict: revision {self._state.revision} is in force, not {publish.base}",)
+        checked = check_documents(publish.documents)
+        if checked.findings:
+            return tuple(str(finding) for finding in checked.findings[:MAX_REASONS])
+        if checked.objects.digest != publish.digest:
+            return ("digest does not match the objects",)
+        findings = check_succession(self._state.objects, checked.objects)
+        return tuple(str(finding) for finding in findings)
--- /dev/null
+++ b/src/fuchsiatrack/control/assigner.py
@@ -0,0 +1,291 @@
+"""The leader of a keyed service: assigns partitions, moves them, keeps grants alive."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable, Iterable, Sequence
+
+import aiohttp
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.grantclient import Grant, HttpGrantClient, ServerUnreachable
+from fuchsiatrack.control.granter import Granter
+from fuchsiatrack.control.leadership import CLAIM_TIMEOUT, Leadership
+from fuchsiatrack.control.placement import Plan, Planner, ServerView
+from fuchsiatrack.control.records import Assign, Merge, Move, Placed, Record, RecordId, Split
+from fuchsiatrack.control.routelease import RouteLeases
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.control.writer import StreamWriter
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.kernel.settings import TimingSettings
+from fuchsiatrack.model.objects import BackendServer
+from fuchsiatrack.model.objectset import ObjectSet
+from fuchsiatrack.peers.directory import PeerDirectory
+
+PLAN_PERIOD = 200
+REVOKE_PERIOD = 50
+MINUTE = 60_000
+
+log = logging.getLogger(__name__)
+
+
+class LoadBook:
+    """Requests a second by partition, from the daemons that report to this leader."""
+
+    gain = 0.2
+
+    def __init__(self) -> None:
+        self._load: dict[str, float] = {}
+
+    @property
+    def load(self) -> dict[str, float]:
+        """The smoothed load by partition."""
+        return self._load
+
+    def add(self, partitions: dict[str, float]) -> None:
+        """Take in one daemon's report."""
+        for name, value in partitions.items():
+            old = self._load.get(name, value)
+            self._load[name] = old + self.gain * (value - old)
+
+
+class MoveBudget:
+    """Bounds the moves that nothing forces: at most *per_minute* in any minute."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._spent: list[int] = []
+
+    def take(self, wanted: int, per_minute: int) -> int:
+        """Return how many of *wanted* moves may start now, and count them."""
+        now = self._clock.now()
+        self._spent = [moment for moment in self._spent if now - moment < MINUTE]
+        granted = max(0, min(wanted, per_minute - len(self._spent)))
+        self._spent.extend([now] * granted)
+        return granted
+
+
+class Assigner:
+    """Brings the ownership of one service's partitions to what the placement wants.
+
+    A move is recorded, then the old owner gives up or its lease is waited out, and only then is
+    the new owner recorded and granted.  Times are in milliseconds.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        leadership: Leadership,
+        follower: Follower[ShardState],
+        writer: StreamWriter,
+        objects: Callable[[], ObjectSet],
+        peers: PeerDirectory,
+        leases: RouteLeases,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        timings: TimingSettings,
+    ) -> None:
+        self._service = service
+        self._leadership = leadership
+        self._follower = follower
+        self._writer = writer
+        self._objects = objects
+        self._peers = peers
+        self._leases = leases
+        self._session = session
+        self._clock = clock
+        self._timings = timings
+        self._planner = Planner(service)
+        self._budget = MoveBudget(clock)
+        self._granters: dict[str, Granter] = {}
+        self._addresses: dict[str, str] = {}
+        self._renewals: dict[str, asyncio.Task] = {}
+        self._transfers: dict[str, asyncio.Task] = {}
+        self._acting_since = -1
+        self.loads = LoadBook()
+        follower.applied.subscribe(lambda applied: self._wake_granters())
+
+    async def run(self) -> None:
+        """Assign until cancelled."""
+        try:
+            while True:
+                try:
+                    await self._step()
+                except PlatformUnavailable as error:
+                    log.info("no change of ownership", extra={"why": str(error)})
+                await self._clock.sleep(PLAN_PERIOD)
+        finally:
+            for task in itertools.chain(self._renewals.values(), self._transfers.values()):
+                task.cancel()
+
+    @property
+    def _state(self) -> ShardState:
+        return self._follower.state
+
+    async def _step(self) -> None:
+        self._sync_granters()
+        if not self._leadership.may_act():
+            return
+        plan = self._planner.plan(self._objects(), self._state, self._view_server, self.loads.load)
+        await self._assign_new(plan)
+        await self._split_and_merge(plan)
+        await self._start_moves(plan)
+        self._continue_transfers()
+
+    # Servers
+
+    def _sync_granters(self) -> None:
+        servers = {server.name: server for server in self._objects().servers(self._service)}
+        for name, server in servers.items():
+            if self._addresses.get(name) != server.address:
+                self._start_granter(server)
+        owners = {owner.server for owner in self._state.ownership.values()}
+        for name in self._granters.keys() - servers.keys() - owners:
+            self._renewals.pop(name).cancel()
+            del self._granters[name], self._addresses[name]
+
+    def _start_granter(self, server: BackendServer) -> None:
+        if server.name in self._renewals:
+            self._renewals[server.name].cancel()
+        client = HttpGrantClient(server, self._session, self._clock, self._timings.grant_timeout)
+        granter = Granter(
+            server.name, client, self._leadership, self._grants, self._clock, self._timings
+        )
+        self._granters[server.name] = granter
+        self._addresses[server.name] = server.address
+        self._renewals[server.name] = asyncio.create_task(granter.run())
+
+    def _grants(self, server: str) -> Sequence[Grant]:
+        """Return what *server* should hold; nothing that is leaving it."""
+        return tuple(
+            Grant(name, owner.fence, tuple(sorted(self._state.hot_keys(name))))
+            for name, owner in self._state.ownership.items()
+            if owner.server == server and not owner.revoked
+        )
+
+    def _wake_granters(self) -> None:
+        for granter in self._granters.values():
+            granter.wake()
+
+    def _view_server(self, name: str) -> ServerView:
+        granter = self._granters.get(name)
+        if granter is None:
+            return ServerView(False, True)
+        leaving = self._peers.is_leaving(self._vm_of(name))
+        return ServerView(granter.is_usable() and not leaving, leaving or granter.is_lost())
+
+    def _vm_of(self, server: str) -> str:
+        found = self._find_server(server)
+        return found.vm_name if found else server
+
+    def _find_server(self, name: str) -> BackendServer | None:
+        return self._objects().of(BackendServer).get(name)
+
+    # Changes
+
+    async def _assign_new(self, plan: Plan) -> None:
+        since = self._leadership.entitled_at
+        if plan.assign and self._clock.now() - since >= self._timings.grant_period:
+            await self._assign(plan.assign)
+
+    async def _split_and_merge(self, plan: Plan) -> None:
+        for slot, key in plan.splits:
+
+            def build(id: RecordId, term: int, slot: str = slot, key: str = key) -> Record:
+                return Split("split", id, term, slot, key)
+
+            await self._append(build)
+        for partition in plan.merges:
+
+            def build_merge(id: RecordId, term: int, partition: str = partition) -> Record:
+                return Merge("merge", id, term, partition)
+
+            await self._append(build_merge)
+
+    async def _start_moves(self, plan: Plan) -> None:
+        allowed = self._budget.take(len(plan.voluntary), self._moves_per_minute())
+        moves = (*plan.forced, *plan.voluntary[:allowed])
+        if moves:
+            await self._append(lambda id, term: Move("move", id, term, moves))
+
+    def _moves_per_minute(self) -> int:
+        placements = self._objects().placements.values()
+        return sum(item.moves_per_minute for item in placements if item.service == self._service)
+
+    async def _assign(self, placed: Iterable[Placed]) -> None:
+        chosen = tuple(placed)
+        await self._append(lambda id, term: Assign("assign", id, term, chosen))
+
+    async def _append(self, build: Callable[[RecordId, int], Record]) -> None:
+        if self._leadership.may_act():
+            term = self._leadership.term
+            await self._writer.append(lambda id: build(id, term), CLAIM_TIMEOUT)
+
+    # Moves
+
+    def _continue_transfers(self) -> None:
+        leaving = {owner.server for owner in self._state.ownership.values() if owner.revoked}
+        for server in leaving:
+            task = self._transfers.get(server)
+            if task is None or task.done():
+                self._transfers[server] = asyncio.create_task(self._transfer(server))
+
+    async def _transfer(self, server: str) -> None:
+        """Settle and re-assign the partitions that leave *server*."""
+        while self._leadership.may_act():
+            leaving = self._leaving(server)
+            if not leaving:
+                return
+            settled = await self._settled(server, leaving)
+            try:
+                await self._reassign(settled)
+            except PlatformUnavailable as error:
+                log.info("move waits for the log", extra={"why": str(error)})
+            await self._clock.sleep(REVOKE_PERIOD)
+
+    def _leaving(self, server: str) -> dict[str, int]:
+        return {
+            name: owner.revoked
+            for name, owner in self._state.ownership.items()
+            if owner.server == server and owner.revoked
+        }
+
+    async def _settled(self, server: str, leaving: dict[str, int]) -> list[str]:
+        """Return the partitions that *server* certainly executes nothing for any more."""
+        granter, found = self._granters.get(server), self._find_server(server)
+        if granter is None:
+            return []
+        released: frozenset[str] = frozenset()
+        if found is None or found.checks_grants:
+            try:
+                released = await granter.revoke(leaving)
+            except ServerUnreachable as error:
+                log.debug("no revoke", extra={"server": server, "why": str(error)})
+            return self._lapsed(granter, leaving, released)
+        return [name for name, fence in leaving.items() if self._leases.is_clear(name, fence)]
+
+    def _lapsed(
+        self, granter: Granter, leaving: Iterable[str], released: frozenset[str]
+    ) -> list[str]:
+        now = self._clock.now()
+        return [name for name in leaving if name in released or now >= granter.holding_until(name)]
+
+    async def _reassign(self, partitions: list[str]) -> None:
+        if not partitions:
+            return
+        planned = self._planner.plan(
+            self._objects(), self._state, self._view_server, self.loads.load
+        )
+        targets = {name: self._target(name, planned) for name in partitions}
+        await self._assign(Placed(name, server) for name, server in targets.items() if server)
+
+    def _target(self, partition: str, plan: Plan) -> str:
+        owner = self._state.ownership.get(partition)
+        if owner is None or not owner.revoked:
+            return ""
+        if self._view_server(owner.target).usable:
+            return owner.target
+        return plan.wanted.get(partition, "")
--- /dev/null
+++ b/src/fuchsiatrack/control/follower.py
@@ -0,0 +1,158 @@
+"""Following one stream of the log: read, replay, and tell others of changes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from reactivex.subject import Subject
+
+from fuchsiatrack.control.records import Record, RecordId, Snapshot, decode
+from fuchsiatrack.control.state import ReplayState
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import PlatformUnavailable, RecordsExpired
+from fuchsiatrack.platform.log import AppendLog, LogPage, LogRecord
+
+RETRY_PAUSE = 100
+
+log = logging.getLogger(__name__)
+S = TypeVar("S", bound=ReplayState)
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """A record that has been replayed; `valid` is False for a void one."""
+
+    offset: int
+    record: Record
+    valid: bool
+
+
+class Follower(Generic[S]):
+    """Keeps a state equal to the replay of a stream.
+
+    `applied` is a stream of `Applied`, in order of offset.  Times are in milliseconds.
+    """
+
+    def __init__(
+        self, log_service: AppendLog, stream: str, create: Callable[[], S], clock: Clock, wait: int
+    ) -> None:
+        self._log = log_service
+        self._stream = stream
+        self._create = create
+        self._clock = clock
+        self._wait = wait
+        self._next = 1
+        self._gap: list[LogRecord] | None = None
+        self._changed = asyncio.Condition()
+        self._watched: dict[RecordId, Applied | None] = {}
+        self.state = create()
+        self.applied: Subject = Subject()
+        self.caught_up = asyncio.Event()
+        self.read_at = -1
+        self.snapshot_at = 0
+        self.snapshot_time = clock.now()
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except PlatformUnavailable as error:
+                log.debug("log is unavailable", extra={"why": str(error)})
+                await self._clock.sleep(RETRY_PAUSE)
+
+    async def wait_for(self, predicate: Callable[[], bool], timeout: int) -> bool:
+        """Wait up to *timeout* milliseconds until *predicate* holds; return whether it does.
+
+        The predicate is tried again after every page of records.
+        """
+        try:
+            async with asyncio.timeout(max(timeout, 0) / 1000):
+                async with self._changed:
+                    await self._changed.wait_for(predicate)
+        except TimeoutError:
+            return predicate()
+        return True
+
+    def watch(self, identity: RecordId) -> None:
+        """Remember the first record with *identity* when it is replayed."""
+        self._watched.setdefault(identity, None)
+
+    def find(self, identity: RecordId) -> Applied | None:
+        """Return the watched record *identity* once it has been replayed."""
+        return self._watched.get(identity)
+
+    def forget(self, identity: RecordId) -> None:
+        """Stop watching *identity*."""
+        self._watched.pop(identity, None)
+
+    async def _step(self) -> None:
+        wait = self._wait if self.caught_up.is_set() else 0
+        try:
+            page = await self._log.read(self._stream, self._next, wait)
+        except RecordsExpired as error:
+            self._restart(error.first)
+            return
+        self._take(page)
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _restart(self, first: int) -> None:
+        """Go on at *first*, looking for a snapshot that covers what has expired."""
+        log.info("records have expired", extra={"stream": self._stream, "first": first})
+        self._next = first
+        self._gap = []
+
+    def _take(self, page: LogPage) -> None:
+        for raw in page.records:
+            self._next = raw.offset + 1
+            if self._gap is None:
+                self._apply(raw)
+            else:
+                self._search(raw)
+        self.read_at = self._clock.now()
+        if self._next >= page.next and self._gap is None:
+            self.caught_up.set()
+
+    def _search(self, raw: LogRecord) -> None:
+        assert self._gap is not None
+        self._gap.append(raw)
+        record = _decode(raw, self._stream)
+        if not isinstance(record, Snapshot) or record.as_of < self._gap[0].offset - 1:
+            return
+        tail = [item for item in self._gap if item.offset > record.as_of]
+        self._gap = None
+        self.state = self._create()
+        self.state.load(record.state, record.as_of)
+        for item in tail:
+            self._apply(item)
+
+    def _apply(self, raw: LogRecord) -> None:
+        record = _decode(raw, self._stream)
+        if record is None:
+            self.state.applied = raw.offset
+            return
+        if isinstance(record, Snapshot):
+            self.snapshot_at = raw.offset
+            self.snapshot_time = self._clock.now()
+        applied = Applied(raw.offset, record, self.state.apply(raw.offset, record))
+        if self._watched.get(record.id, applied) is None:
+            self._watched[record.id] = applied
+        self.applied.on_next(applied)
+
+
+def _decode(raw: LogRecord, stream: str) -> Record | None:
+    try:
+        return decode(raw.data)
+    except ValueError:
+        log.error("unreadable record", extra={"stream": stream, "offset": raw.offset})
+        return None
--- /dev/null
+++ b/src/fuchsiatrack/control/grantclient.py
@@ -0,0 +1,123 @@
+"""How a leader speaks to a backend server about grants."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.model.objects import BackendServer
+
+
+class ServerUnreachable(Exception):
+    """The server did not answer, or not as expected."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Reading:
+    """A reading of a server's clock; `received_at` is in this daemon's clock.
+
+    The server's clock value belongs to one incarnation of the server.
+    """
+
+    incarnation: str
+    clock: int
+    received_at: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Ownership of one partition; `without` lists the keys that are not part of it."""
+
+    partition: str
+    fence: int
+    without: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantAnswer:
+    """What a server holds after a grant, or has released after a revoke."""
+
+    reading: Reading
+    partitions: frozenset[str]
+
+
+class GrantClient(abc.ABC):
+    """Calls to one backend server; every method raises ServerUnreachable."""
+
+    @abc.abstractmethod
+    async def read_clock(self) -> Reading:
+        """Return a reading of the server's clock."""
+
+    @abc.abstractmethod
+    async def grant(self, grants: Sequence[Grant], reading: Reading, lease: int) -> GrantAnswer:
+        """Give *grants* until *lease* milliseconds after *reading*, by the server's clock."""
+
+    @abc.abstractmethod
+    async def revoke(
+        self, fences: dict[str, int], reading: Reading | None, lease: int
+    ) -> GrantAnswer:
+        """Refuse new work for the partitions in *fences*, and return those that have settled.
+
+        Requests in flight there may go on until *lease* milliseconds after *reading*.
+        """
+
+
+class HttpGrantClient(GrantClient):
+    """The grant protocol over HTTP; *timeout* in milliseconds."""
+
+    def __init__(
+        self, server: BackendServer, session: aiohttp.ClientSession, clock: Clock, timeout: int
+    ) -> None:
+        self._url = f"http://{server.address}/fuchsiatrack/grants"
+        self._session = session
+        self._clock = clock
+        self._timeout = aiohttp.ClientTimeout(total=timeout / 1000)
+
+    async def read_clock(self) -> Reading:
+        body = await self._call("GET", "/clock", None)
+        return self._reading(body)
+
+    async def grant(self, grants: Sequence[Grant], reading: Reading, lease: int) -> GrantAnswer:
+        body = await self._call(
+            "PUT",
+            "",
+            {
+                "incarnation": reading.incarnation,
+                "reading": reading.clock,
+                "lease": lease,
+                "grants": [dataclasses.asdict(grant) for grant in grants],
+            },
+        )
+        return GrantAnswer(self._reading(body), frozenset(body["held"]))
+
+    async def revoke(
+        self, fences: dict[str, int], reading: Reading | None, lease: int
+    ) -> GrantAnswer:
+        request: dict[str, Any] = {"fences": fences}
+        if reading:
+            request |= {
+                "incarnation": reading.incarnation,
+                "reading": reading.clock,
+                "lease": lease,
+            }
+        body = await self._call("POST", "/revoke", request)
+        return GrantAnswer(self._reading(body), frozenset(body["released"]))
+
+    def _reading(self, body: dict[str, Any]) -> Reading:
+        return Reading(body["incarnation"], body["clock"], self._clock.now())
+
+    async def _call(self, method: str, path: str, body: Any) -> dict[str, Any]:
+        try:
+            async with self._session.request(
+                method, self._url + path, json=body, timeout=self._timeout
+            ) as got:
+                if got.status != 200:
+                    raise ServerUnreachable(f"{method} {path} answered {got.status}")
+                return await got.json()
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            raise ServerUnreachable(repr(error)) from error
--- /dev/null
+++ b/src/fuchsiatrack/control/granter.py
@@ -0,0 +1,137 @@
+"""Keeping the grants of one backend server alive while this daemon leads."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable, Sequence
+
+from fuchsiatrack.control.grantclient import Grant, GrantClient, Reading, ServerUnreachable
+from fuchsiatrack.control.leadership import Leadership
+from fuchsiatrack.kernel.clock import Clock, longest
+from fuchsiatrack.kernel.settings import TimingSettings
+
+# A server that has not answered for this long counts as lost.
+LOST_AFTER = 900
+
+log = logging.getLogger(__name__)
+
+
+class Granter:
+    """Renews all grants of one server in one call, for as long as the leadership may act.
+
+    The lease ends by the server's own clock: a grant carries the server's last clock reading.
+    `holding_until` is counted from when that reading arrived, which is the latest moment at
+    which it can have been taken.  Times are in milliseconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        client: GrantClient,
+        leadership: Leadership,
+        grants: Callable[[str], Sequence[Grant]],
+        clock: Clock,
+        timings: TimingSettings,
+    ) -> None:
+        self._name = name
+        self._client = client
+        self._leadership = leadership
+        self._grants = grants
+        self._clock = clock
+        self._timings = timings
+        self._reading: Reading | None = None
+        self._holding: dict[str, int] = {}
+        self._term = 0
+        self._answered_at = -1
+        self._wake = asyncio.Event()
+        self.held: frozenset[str] = frozenset()
+
+    @property
+    def name(self) -> str:
+        """Name of the backend server."""
+        return self._name
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            self._wake.clear()
+            if self._leadership.may_act():
+                await self._attempt()
+            try:
+                async with asyncio.timeout(self._timings.grant_period / 1000):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    def wake(self) -> None:
+        """Renew without waiting for the next period."""
+        self._wake.set()
+
+    def is_usable(self) -> bool:
+        """Tell whether the server has answered lately."""
+        return self._clock.now() - self._answered_at < LOST_AFTER and self._answered_at >= 0
+
+    def is_lost(self) -> bool:
+        """Tell whether the server has been silent for so long that its keys should move."""
+        since = max(self._answered_at, self._leadership.entitled_at)
+        return self._clock.now() - since >= LOST_AFTER
+
+    def holding_until(self, partition: str) -> int:
+        """Return the moment from which the server certainly holds no grant for *partition*.
+
+        A grant of an earlier leader lasts at most one lease longer than that leader could act.
+        """
+        earlier = self._leadership.entitled_at + longest(self._timings.grant_lease)
+        if self._term != self._leadership.term:
+            return earlier
+        return max(earlier, self._holding.get(partition, 0))
+
+    async def revoke(self, fences: dict[str, int]) -> frozenset[str]:
+        """Ask the server to give up partitions; return those that have settled there.
+
+        Raises ServerUnreachable.
+        """
+        reading = self._reading
+        if not self._leadership.may_act():
+            raise ServerUnreachable("not entitled to act")
+        if reading:
+            self._note_holding(fences, reading)
+        answer = await self._client.revoke(fences, reading, self._timings.grant_lease)
+        self._take(answer.reading)
+        return answer.partitions
+
+    async def _attempt(self) -> None:
+        try:
+            await self._renew()
+        except ServerUnreachable as error:
+            self._reading = None
+            log.debug("no grant", extra={"server": self._name, "why": str(error)})
+
+    async def _renew(self) -> None:
+        if self._reading is None or self._is_stale(self._reading):
+            self._take(await self._client.read_clock())
+        reading, grants = self._reading, self._grants(self._name)
+        assert reading is not None
+        # The reading was taken before this check, so the grant ends at most one lease after
+        # the leadership does, however long this process is paused in between.
+        if not self._leadership.may_act():
+            return
+        self._note_holding((grant.partition for grant in grants), reading)
+        answer = await self._client.grant(grants, reading, self._timings.grant_lease)
+        self._take(answer.reading)
+        self.held = answer.partitions
+
+    def _is_stale(self, reading: Reading) -> bool:
+        return self._clock.now() - reading.received_at > 2 * self._timings.grant_period
+
+    def _take(self, reading: Reading) -> None:
+        self._reading = reading
+        self._answered_at = self._clock.now()
+
+    def _note_holding(self, partitions: Iterable[str], reading: Reading) -> None:
+        if self._term != self._leadership.term:
+            self._holding.clear()
+            self._term = self._leadership.term
+        until = reading.received_at + longest(self._timings.grant_lease)
+        self._holding.update(dict.fromkeys(partitions, until))
--- /dev/null
+++ b/src/fuchsiatrack/control/leadership.py
@@ -0,0 +1,361 @@
+"""Who may act for a shard, and for how long.
+
+The log decides who leads: the first claim after a term wins.  A leader acts only while a
+majority of the voters supports its term, counted from before it asked, so that one that is cut
+off or paused stops by itself; an outage of the log alone stops nobody.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import hashlib
+import logging
+from collections.abc import Iterable
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.records import Claim, Daemon, RecordId, Resign, Voters
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.control.voter import Support, Voter
+from fuchsiatrack.control.writer import StreamWriter
+from fuchsiatrack.kernel.clock import Clock, longest, shortest
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.kernel.settings import TimingSettings
+from fuchsiatrack.peers.directory import CALL_ERRORS, PeerDirectory
+from fuchsiatrack.peers.peers_pb2 import ProbeRequest, SupportRequest
+
+MAX_VOTERS = 5
+# Step between the moments at which two daemons claim a term that nobody holds.
+CLAIM_STEP = 60
+CLAIM_TIMEOUT = 3_000
+# A voter that has not supported the leader for this long is replaced.
+VOTER_PATIENCE = 5_000
+
+log = logging.getLogger(__name__)
+
+
+class VoterCalls(abc.ABC):
+    """How a leader or challenger reaches voters."""
+
+    @abc.abstractmethod
+    async def support(self, voter: Daemon, shard: str, term: int) -> Support | None:
+        """Ask *voter* to support *term*; None when it does not answer as that incarnation."""
+
+    @abc.abstractmethod
+    async def probe(self, voter: Daemon, shard: str, term: int) -> bool | None:
+        """Ask whether *voter* still supports *term*; None when it does not answer."""
+
+
+class PeerVoterCalls(VoterCalls):
+    """Reaches this daemon's own voter directly and others over grpclib."""
+
+    def __init__(self, me: Daemon, own: Voter, peers: PeerDirectory, timeout: int) -> None:
+        self._me = me
+        self._own = own
+        self._peers = peers
+        self._timeout = timeout
+
+    async def support(self, voter: Daemon, shard: str, term: int) -> Support | None:
+        if voter == self._me:
+            return self._own.support(shard, term)
+        request = SupportRequest(shard=shard, term=term, voter=voter.incarnation)
+        try:
+            async with asyncio.timeout(self._timeout / 1000):
+                reply = await self._peers.stub(voter).Support(request)
+        except CALL_ERRORS:
+            return None
+        if reply.incarnation != voter.incarnation:
+            return None
+        return Support(reply.granted, reply.highest_term, reply.wait_ms)
+
+    async def probe(self, voter: Daemon, shard: str, term: int) -> bool | None:
+        if voter == self._me:
+            return self._own.is_supporting(shard, term)
+        request = ProbeRequest(shard=shard, term=term, voter=voter.incarnation)
+        try:
+            async with asyncio.timeout(self._timeout / 1000):
+                reply = await self._peers.stub(voter).Probe(request)
+        except CALL_ERRORS:
+            return None
+        return reply.supporting if reply.incarnation == voter.incarnation else None
+
+
+def majority(voters: tuple[Daemon, ...]) -> int:
+    """Return how many of *voters* are more than half."""
+    return len(voters) // 2 + 1
+
+
+class Leadership:
+    """Claims, keeps and gives up the term of one shard.  Times are in milliseconds."""
+
+    def __init__(
+        self,
+        shard: str,
+        me: Daemon,
+        follower: Follower[ShardState],
+        writer: StreamWriter,
+        calls: VoterCalls,
+        voter: Voter,
+        peers: PeerDirectory,
+        clock: Clock,
+        timings: TimingSettings,
+    ) -> None:
+        self._shard = shard
+        self._me = me
+        self._follower = follower
+        self._writer = writer
+        self._calls = calls
+        self._voter = voter
+        self._peers = peers
+        self._clock = clock
+        self._timings = timings
+        self._lease_until = -1
+        self._entitled_at: int | None = None
+        self._entitled_term = 0
+        self._known_voters: tuple[Daemon, ...] = ()
+        self._voters_known_at = clock.now()
+        self._proposed: tuple[Daemon, ...] = ()
+        self._supported_at: dict[Daemon, int] = {}
+        self._stopping = False
+        follower.applied.subscribe(lambda applied: voter.learn(shard, self._state.term))
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self._shard
+
+    @property
+    def holds_term(self) -> bool:
+        """Whether the log gives the current term to this daemon."""
+        return self._state.leader == self._me and not self._state.resigned
+
+    @property
+    def term(self) -> int:
+        """The shard's current term."""
+        return self._state.term
+
+    @property
+    def entitled_at(self) -> int:
+        """When this daemon became entitled to act under its term; valid while it may act."""
+        return self._entitled_at if self._entitled_at is not None else self._clock.now()
+
+    def may_act(self) -> bool:
+        """Tell whether this daemon may grant at this very moment."""
+        if not self.holds_term or self._stopping or self._entitled_term != self.term:
+            return False
+        now = self._clock.now()
+        return self._entitled_at is not None and self._entitled_at <= now < self._lease_until
+
+    async def run(self) -> None:
+        """Keep or seek the term until cancelled."""
+        await self._follower.caught_up.wait()
+        while True:
+            try:
+                await self._step()
+            except PlatformUnavailable as error:
+                log.info("log did not settle", extra={"shard": self._shard, "why": str(error)})
+            await self._clock.sleep(self._timings.support_period)
+
+    async def resign(self) -> None:
+        """Stop acting at once and record it, so that another daemon takes over."""
+        self._stopping = True
+        if not self.holds_term:
+            return
+        term = self.term
+        try:
+            await self._writer.append(lambda id: Resign("resign", id, term), CLAIM_TIMEOUT)
+        except PlatformUnavailable:
+            log.warning("resignation was not read back", extra={"shard": self._shard})
+
+    @property
+    def _state(self) -> ShardState:
+        return self._follower.state
+
+    async def _step(self) -> None:
+        self._note_voters()
+        if self._stopping:
+            return
+        if not self.holds_term:
+            await self._seek()
+        elif self._peers.is_leaving(self._me.vm):
+            await self._hand_over()
+        elif self._entitled_term != self.term:
+            await self._take_over()
+        else:
+            await self._renew()
+            await self._maintain_voters()
+
+    async def _hand_over(self) -> None:
+        await self.resign()
+        self._stopping = False
+
+    def _note_voters(self) -> None:
+        if self._state.voters != self._known_voters:
+            self._known_voters = self._state.voters
+            self._voters_known_at = self._clock.now()
+
+    # Seeking the term
+
+    async def _seek(self) -> None:
+        if self._peers.is_leaving(self._me.vm) or not self._is_listed():
+            return
+        if not await self._is_vacant():
+            return
+        term = self._state.term
+        await self._clock.sleep(self._rank() * CLAIM_STEP)
+        if self._state.term != term or not await self._is_vacant():
+            return
+        voters = self._choose_voters(())
+        version = self._peers.vms.version
+
+        def build(identity: RecordId) -> Claim:
+            return Claim("claim", identity, term, self._me, voters, version)
+
+        await self._writer.append(build, CLAIM_TIMEOUT)
+        if self.holds_term:
+            self._note_voters()
+            await self._take_over()
+
+    def _is_listed(self) -> bool:
+        return self._peers.vms.find(self._me.vm) is not None
+
+    async def _is_vacant(self) -> bool:
+        """Tell whether so many voters have stopped supporting the term that nobody can act."""
+        if self._state.term == 0 or self._state.resigned:
+            return True
+        voters = self._state.voters
+        if self._me in voters and self._voter.is_supporting(self._shard, self._state.term):
+            return False
+        answers = await asyncio.gather(*(self._lapsed(voter) for voter in voters))
+        return sum(answers) >= len(voters) - len(voters) // 2
+
+    async def _lapsed(self, voter: Daemon) -> bool:
+        if self._gone(voter):
+            return True
+        return await self._calls.probe(voter, self._shard, self._state.term) is False
+
+    def _gone(self, voter: Daemon) -> bool:
+        return self._peers.is_gone(voter, self._state.vm_version, self._voters_known_at)
+
+    def _rank(self) -> int:
+        """Return this daemon's place in the order of claims, from 0."""
+
+        def score(daemon: Daemon) -> bytes:
+            return hashlib.blake2b(f"{self._shard}\0{daemon.vm}".encode()).digest()
+
+        return sum(1 for peer in self._peers.reachable if score(peer) < score(self._me))
+
+    # Taking over
+
+    async def _take_over(self) -> None:
+        """Become entitled: no earlier leader can act any more."""
+        term, voters = self.term, self._state.voters
+        answers = await self._ask(voters, term)
+        granted = [answer for answer in answers.values() if answer.granted]
+        alive = sum(1 for voter in voters if voter in answers or not self._gone(voter))
+        if len(granted) < max(0, alive - len(voters) // 2) or self.term != term:
+            return
+        wait = max((longest(answer.wait) for answer in granted), default=0)
+        if len(granted) < majority(voters):
+            wait = longest(self._timings.support_lease)
+        self._entitled_at = self._clock.now() + wait
+        self._entitled_term = term
+        self._lease_until = -1
+        self._proposed = ()
+        self._supported_at = {}
+        log.info("leading", extra={"shard": self._shard, "term": term, "wait_ms": wait})
+        await self._maintain_voters()
+        await self._renew()
+
+    # Keeping the term
+
+    async def _renew(self) -> None:
+        """Extend the time for which this daemon may act, counted from before it asks."""
+        asked_at, term = self._clock.now(), self.term
+        sets = [voters for voters in (self._state.voters, self._proposed) if voters]
+        answers = await self._ask(set().union(*sets), term)
+        granted = {voter for voter, answer in answers.items() if answer.granted}
+        self._supported_at.update(dict.fromkeys(granted, asked_at))
+        current = sets == [v for v in (self._state.voters, self._proposed) if v]
+        if not current or self.term != term:
+            return
+        if all(len(granted.intersection(voters)) >= majority(voters) for voters in sets):
+            self._lease_until = asked_at + shortest(self._timings.support_lease)
+
+    async def _ask(self, voters: Iterable[Daemon], term: int) -> dict[Daemon, Support]:
+        asked = tuple(voters)
+        answers = await asyncio.gather(
+            *(self._calls.support(voter, self._shard, term) for voter in asked)
+        )
+        return {voter: answer for voter, answer in zip(asked, answers, strict=True) if answer}
+
+    # Voters
+
+    async def _maintain_voters(self) -> None:
+        """Replace voters that are gone or silent, and add some while there are too few.
+
+        From before the record is sent until it has been read back, the leader needs a majority
+        of the old voters and of the new ones, since the record may take effect at any time.
+        """
+        voters = self._state.voters
+        wanted = self._proposed or self._choose_voters(tuple(v for v in voters if self._is_kept(v)))
+        if set(wanted) == set(voters) or not wanted:
+            self._proposed = ()
+            return
+        self._proposed = wanted
+        self._lease_until = min(self._lease_until, self._clock.now())
+        await self._renew()
+        term, version = self.term, self._peers.vms.version
+
+        def build(identity: RecordId) -> Voters:
+            return Voters("voters", identity, term, wanted, version)
+
+        task = asyncio.create_task(self._writer.append(build, CLAIM_TIMEOUT))
+        while not task.done():
+            await asyncio.wait([task], timeout=self._timings.support_period / 1000)
+            await self._renew()
+        try:
+            await task
+        except PlatformUnavailable:
+            return
+        self._proposed = ()
+        self._note_voters()
+        await self._renew()
+
+    def _is_kept(self, voter: Daemon) -> bool:
+        if self._gone(voter) or self._peers.is_leaving(voter.vm):
+            return False
+        since = max(self._supported_at.get(voter, 0), self._voters_known_at, self.entitled_at)
+        return voter == self._me or self._clock.now() - since < VOTER_PATIENCE
+
+    def _choose_voters(self, kept: tuple[Daemon, ...]) -> tuple[Daemon, ...]:
+        """Fill up *kept* to an odd number of voters from many failure domains."""
+        chosen = list(kept)
+        spare = [daemon for daemon in self._peers.reachable if daemon not in chosen]
+        while spare and len(chosen) < MAX_VOTERS:
+            used = [daemon.failure_domain for daemon in chosen]
+            best = min(spare, key=lambda daemon: (used.count(daemon.failure_domain), daemon.vm))
+            spare.remove(best)
+            chosen.append(best)
+        if len(chosen) % 2 == 0 and len(chosen) > len(kept):
+            chosen.pop()
+        return tuple(chosen) or (self._me,)
+
+
+@dataclasses.dataclass(frozen=True)
+class LeadershipReport:
+    """What `status` shows of a shard's leadership on one daemon."""
+
+    shard: str
+    term: int
+    leader: str
+    acting: bool
+    voters: tuple[str, ...]
+
+
+def report(leadership: Leadership, state: ShardState) -> LeadershipReport:
+    """Return the report on *leadership*."""
+    leader = state.leader.vm if state.leader else ""
+    names = tuple(voter.vm for voter in state.voters)
+    return LeadershipReport(leadership.shard, state.term, leader, leadership.may_act(), names)
--- /dev/null
+++ b/src/fuchsiatrack/control/orders.py
@@ -0,0 +1,156 @@
+"""Orders that have begun, so that one order id runs at most once through any daemon.
+
+An order's intention is recorded on the log before its first send, and the first record of an id
+wins.  An attempt that is proved not to have run is freed by another record.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import logging
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.records import Attempt, Orders, Record, RecordId
+from fuchsiatrack.control.state import ReplayState
+from fuchsiatrack.control.writer import StreamWriter
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+
+# Order ids that are remembered for one service.
+ORDER_MEMORY = 100_000
+# Freed attempts that are remembered for one service.
+FREED_MEMORY = 10_000
+MAX_BATCH = 500
+APPEND_TIMEOUT = 10_000
+
+log = logging.getLogger(__name__)
+_ADAPTER = TypeAdapter(list[Attempt])
+_WRITERS = TypeAdapter(dict[str, tuple[int, int]])
+
+
+class OrdersState(ReplayState):
+    """The attempt that each remembered order id belongs to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._attempts: dict[tuple[str, str], Attempt] = {}
+        self._freed: dict[str, None] = {}
+
+    def find(self, caller: str, order: str) -> Attempt | None:
+        """Return the attempt that *caller*'s *order* belongs to."""
+        return self._attempts.get((caller, order))
+
+    def _apply(self, offset: int, record: Record) -> bool:
+        if not isinstance(record, Orders):
+            return True
+        for attempt in record.begun:
+            if attempt.attempt not in self._freed:
+                self._attempts.setdefault((attempt.caller, attempt.order), attempt)
+        for attempt in record.freed:
+            # A record that begins the attempt may still take effect later.
+            self._freed[attempt.attempt] = None
+            known = self.find(attempt.caller, attempt.order)
+            if known and known.attempt == attempt.attempt:
+                del self._attempts[(attempt.caller, attempt.order)]
+        while len(self._attempts) > ORDER_MEMORY:
+            del self._attempts[next(iter(self._attempts))]
+        while len(self._freed) > FREED_MEMORY:
+            del self._freed[next(iter(self._freed))]
+        return True
+
+    def dump(self) -> dict[str, Any]:
+        attempts = _ADAPTER.dump_python(list(self._attempts.values()), mode="json")
+        return {
+            "attempts": attempts,
+            "freed": list(self._freed),
+            "writers": dict(self._writers),
+        }
+
+    def load(self, data: dict[str, Any], as_of: int) -> None:
+        attempts = _ADAPTER.validate_python(data["attempts"])
+        self._attempts = {(item.caller, item.order): item for item in attempts}
+        self._freed = dict.fromkeys(data["freed"])
+        self._writers = _WRITERS.validate_python(data["writers"])
+        self.applied = as_of
+
+
+class Beginning(enum.Enum):
+    """Answer to an attempt that wants to begin."""
+
+    FIRST = "first"
+    REPEAT = "repeat"
+    UNSETTLED = "unsettled"
+
+
+class OrderLedger:
+    """Records attempts in batches: one append for all that came while the last one ran."""
+
+    def __init__(self, follower: Follower[OrdersState], writer: StreamWriter, clock: Clock) -> None:
+        self._follower = follower
+        self._writer = writer
+        self._clock = clock
+        self._begun: list[Attempt] = []
+        self._freed: list[Attempt] = []
+        self._wake = asyncio.Event()
+
+    def find(self, caller: str, order: str) -> Attempt | None:
+        """Return the recorded attempt of an order."""
+        return self._follower.state.find(caller, order)
+
+    async def begin(self, attempt: Attempt, timeout: int) -> Beginning:
+        """Record that *attempt* is about to be sent; wait up to *timeout* milliseconds.
+
+        `UNSETTLED` means that the log has not answered; the record may still take effect.
+        """
+        if self.find(attempt.caller, attempt.order) is not None:
+            return Beginning.REPEAT
+        self._begun.append(attempt)
+        self._wake.set()
+
+        def known() -> bool:
+            return self.find(attempt.caller, attempt.order) is not None
+
+        if not await self._follower.wait_for(known, timeout):
+            return Beginning.UNSETTLED
+        if self.find(attempt.caller, attempt.order) == attempt:
+            return Beginning.FIRST
+        self.free(attempt)
+        return Beginning.REPEAT
+
+    def free(self, attempt: Attempt) -> None:
+        """Record that *attempt* has not run, so that its order id may be tried again."""
+        if attempt in self._begun:
+            self._begun.remove(attempt)
+        self._freed.append(attempt)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._begun or self._freed:
+                await self._write_batch()
+
+    async def drain(self, timeout: int) -> None:
+        """Wait up to *timeout* milliseconds until everything is recorded."""
+        deadline = self._clock.now() + timeout
+        while (self._begun or self._freed) and self._clock.now() < deadline:
+            await self._clock.sleep(20)
+
+    async def _write_batch(self) -> None:
+        begun, freed = tuple(self._begun[:MAX_BATCH]), tuple(self._freed[:MAX_BATCH])
+        del self._begun[: len(begun)], self._freed[: len(freed)]
+
+        def build(identity: RecordId) -> Orders:
+            return Orders("orders", identity, begun, freed)
+
+        try:
+            await self._writer.append(build, APPEND_TIMEOUT)
+        except PlatformUnavailable as error:
+            log.info("orders stay unrecorded", extra={"why": str(error)})
+            self._begun[:0], self._freed[:0] = begun, freed
--- /dev/null
+++ b/src/fuchsiatrack/control/routelease.py
@@ -0,0 +1,133 @@
+"""Leave to route, for servers that don't check who gives them orders.
+
+There the daemons are the fence: a daemon routes only while its lease from the leader is fresh,
+and a move waits until every daemon has stopped or its lease has run out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Callable, Iterable
+
+from fuchsiatrack.control.leadership import Leadership
+from fuchsiatrack.control.records import Daemon
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.kernel.clock import Clock, longest, shortest
+from fuchsiatrack.peers.directory import CALL_ERRORS, PeerDirectory
+from fuchsiatrack.peers.peers_pb2 import RouteRequest
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteHolder:
+    """A daemon that may route: until when, and what it has confirmed."""
+
+    until: int
+    applied: int
+    unsettled: frozenset[str]
+
+    def has_left(self, partition: str, revoked: int) -> bool:
+        """Tell whether the daemon sends nothing more under the owner that *revoked* ended."""
+        return self.applied >= revoked and partition not in self.unsettled
+
+
+class RouteLeases:
+    """The leader's side: who may route for the shard.  Times are in milliseconds.
+
+    `settle` is the longest time for which a request that was sent can still be running.
+    """
+
+    def __init__(
+        self, leadership: Leadership, clock: Clock, lease: int, settle: Callable[[], int]
+    ) -> None:
+        self._leadership = leadership
+        self._clock = clock
+        self._lease = lease
+        self._settle = settle
+        self._term = 0
+        self._holders: dict[str, RouteHolder] = {}
+
+    def renew(self, daemon: str, term: int, applied: int, unsettled: Iterable[str]) -> bool:
+        """Let *daemon* route for one more lease; False when this daemon can't allow it."""
+        if term != self._leadership.term or not self._leadership.may_act():
+            return False
+        self._reset_for_term()
+        until = self._clock.now() + longest(self._lease)
+        self._holders[daemon] = RouteHolder(until, applied, frozenset(unsettled))
+        return True
+
+    def is_clear(self, partition: str, revoked: int) -> bool:
+        """Tell whether no daemon can have a request running under the owner before *revoked*."""
+        self._reset_for_term()
+        now, settle = self._clock.now(), self._settle()
+        earlier = self._leadership.entitled_at + longest(self._lease) + settle
+        if now < earlier:
+            return False
+        return all(
+            holder.has_left(partition, revoked) or now >= holder.until + settle
+            for holder in self._holders.values()
+        )
+
+    def _reset_for_term(self) -> None:
+        if self._term != self._leadership.term:
+            self._term = self._leadership.term
+            self._holders.clear()
+
+
+class RouteLease:
+    """A daemon's side: whether it may route to servers that don't check grants."""
+
+    def __init__(
+        self,
+        shard: str,
+        me: Daemon,
+        state: Callable[[], ShardState],
+        peers: PeerDirectory,
+        clock: Clock,
+        lease: int,
+        period: int,
+    ) -> None:
+        self._shard = shard
+        self._me = me
+        self._state = state
+        self._peers = peers
+        self._clock = clock
+        self._lease = lease
+        self._period = period
+        self._until = -1
+        self.unsettled: Callable[[], Iterable[str]] = tuple
+        self.take_load: Callable[[], dict[str, float]] = dict
+
+    def is_fresh(self) -> bool:
+        """Tell whether this daemon may route at this very moment."""
+        return self._clock.now() < self._until
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while True:
+            await self._renew()
+            await self._clock.sleep(self._period)
+
+    async def _renew(self) -> None:
+        state = self._state()
+        if state.leader is None or state.resigned:
+            return
+        asked_at = self._clock.now()
+        request = RouteRequest(
+            shard=self._shard,
+            term=state.term,
+            daemon=self._me.incarnation,
+            applied=state.applied,
+            unsettled=list(self.unsettled()),
+            load=self.take_load(),
+        )
+        try:
+            async with asyncio.timeout(self._period / 1000):
+                reply = await self._peers.stub(state.leader).Route(request)
+        except CALL_ERRORS:
+            return
+        if reply.granted and reply.incarnation == state.leader.incarnation:
+            self._until = asked_at + shortest(self._lease)
--- /dev/null
+++ b/src/fuchsiatrack/control/snapshots.py
@@ -0,0 +1,64 @@
+"""Snapshots of a stream's state, so that a new VM needs no expired record."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.records import RecordId, Snapshot
+from fuchsiatrack.control.writer import StreamWriter
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+
+CHECK_PERIOD = 500
+APPEND_TIMEOUT = 5_000
+
+log = logging.getLogger(__name__)
+
+
+class Snapshotter:
+    """Writes a snapshot when the last one is too many records or too long ago.
+
+    Two daemons may both write one; a snapshot says only what replay of the records before it
+    says, so either is right.  *period* is in milliseconds and must be well below the retention.
+    """
+
+    def __init__(
+        self,
+        follower: Follower,
+        writer: StreamWriter,
+        may_write: Callable[[], bool],
+        clock: Clock,
+        records: int,
+        period: int,
+    ) -> None:
+        self._follower = follower
+        self._writer = writer
+        self._may_write = may_write
+        self._clock = clock
+        self._records = records
+        self._period = period
+
+    async def run(self) -> None:
+        """Write snapshots until cancelled."""
+        while True:
+            await self._clock.sleep(CHECK_PERIOD)
+            if not self._is_due() or not self._may_write():
+                continue
+            try:
+                await self._writer.append(self._build, APPEND_TIMEOUT)
+            except PlatformUnavailable as error:
+                log.info("no snapshot", extra={"why": str(error)})
+
+    def _is_due(self) -> bool:
+        follower = self._follower
+        if not follower.caught_up.is_set() or not follower.state.applied:
+            return False
+        if follower.state.applied - follower.snapshot_at >= self._records:
+            return True
+        return self._clock.now() - follower.snapshot_time >= self._period
+
+    def _build(self, identity: RecordId) -> Snapshot:
+        state = self._follower.state
+        return Snapshot("snapshot", identity, state.applied, state.dump())
--- /dev/null
+++ b/src/fuchsiatrack/control/voter.py
@@ -0,0 +1,59 @@
+"""Support that a daemon gives to leaders."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from fuchsiatrack.kernel.clock import Clock, longest
+
+
+@dataclasses.dataclass(frozen=True)
+class Support:
+    """Answer to a request for support.
+
+    `wait` is how long support of an earlier term may still be counted on, in milliseconds.
+    """
+
+    granted: bool
+    highest_term: int
+    wait: int = 0
+
+
+class Voter:
+    """Supports, for each shard, the highest term that it knows of, for one lease at a time.
+
+    Nothing here outlives the process: a restarted daemon is another incarnation, and no voter
+    until the log lists it.
+    """
+
+    def __init__(self, clock: Clock, support_lease: int) -> None:
+        self._clock = clock
+        self._lease = support_lease
+        self._terms: dict[str, int] = {}
+        self._until: dict[str, int] = {}
+        self._earlier_until: dict[str, int] = {}
+
+    def support(self, shard: str, term: int) -> Support:
+        """Support *term* unless a higher one is known."""
+        now = self._clock.now()
+        highest = self._terms.get(shard, 0)
+        if term < highest:
+            return Support(False, highest)
+        if term > highest:
+            self._earlier_until[shard] = self._until.get(shard, now)
+            self._terms[shard] = term
+        self._until[shard] = now + longest(self._lease)
+        return Support(True, term, max(0, self._earlier_until.get(shard, now) - now))
+
+    def learn(self, shard: str, term: int) -> None:
+        """Stop supporting terms of *shard* below *term*."""
+        now = self._clock.now()
+        if term > self._terms.get(shard, 0):
+            self._earlier_until[shard] = self._until.get(shard, now)
+            self._terms[shard] = term
+
+    def is_supporting(self, shard: str, term: int) -> bool:
+        """Tell whether support given to *term* or a higher one is still in force."""
+        if self._terms.get(shard, 0) < term:
+            return False
+        return self._clock.now() < self._until.get(shard, 0)
--- /dev/null
+++ b/src/fuchsiatrack/control/writer.py
@@ -0,0 +1,73 @@
+"""Appending to one stream, so that a lost answer neither loses nor repeats a record."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from fuchsiatrack.control.follower import Applied, Follower
+from fuchsiatrack.control.records import Record, RecordId, encode
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
+from fuchsiatrack.platform.log import AppendLog
+
+RESEND_PAUSE = 200
+READ_BACK_WAIT = 1_500
+
+
+class StreamWriter:
+    """Appends records one after the other and returns them as replay saw them.
+
+    An append whose answer was lost is sent again with the same id; replay drops the repeat.
+    """
+
+    def __init__(
+        self, log_service: AppendLog, follower: Follower, incarnation: str, clock: Clock
+    ) -> None:
+        self._log = log_service
+        self._follower = follower
+        self._incarnation = incarnation
+        self._clock = clock
+        self._sequence = 0
+        self._lock = asyncio.Lock()
+        self.appends = 0
+
+    async def append(self, build: Callable[[RecordId], Record], timeout: int) -> Applied:
+        """Append the record that *build* returns, and wait until it has been read back.
+
+        *timeout* is in milliseconds.  Raises PlatformUnavailable when the record was not read
+        back in time; it may still take effect.
+        """
+        deadline = self._clock.now() + timeout
+        async with self._lock:
+            self._sequence += 1
+            identity = RecordId(self._incarnation, self._sequence)
+            data = encode(build(identity))
+            self._follower.watch(identity)
+            try:
+                return await self._settle(identity, data, deadline)
+            finally:
+                self._follower.forget(identity)
+
+    async def _settle(self, identity: RecordId, data: bytes, deadline: int) -> Applied:
+        def is_read_back() -> bool:
+            return self._follower.find(identity) is not None
+
+        while True:
+            pause = await self._send(data)
+            left = deadline - self._clock.now()
+            await self._follower.wait_for(is_read_back, min(pause, left))
+            applied = self._follower.find(identity)
+            if applied is not None:
+                return applied
+            if deadline - self._clock.now() <= 0:
+                raise PlatformUnavailable(f"{self._follower.stream}: append was not read back")
+
+    async def _send(self, data: bytes) -> int:
+        """Append once and return how long to wait before sending again."""
+        self.appends += 1
+        try:
+            await self._log.append(self._follower.stream, data)
+        except (AppendRefused, PlatformUnavailable):
+            return RESEND_PAUSE
+        return READ_BACK_WAIT
--- /dev/null
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -0,0 +1,260 @@
+"""One run of `fuchsiatrackd`: its parts, its listeners, its start and its graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+import grpclib.server
+from aiohttp import web
+from reactivex import operators
+
+from fuchsiatrack.control.acceptor import Acceptor
+from fuchsiatrack.control.leadership import Leadership
+from fuchsiatrack.control.records import Accept, Daemon
+from fuchsiatrack.control.snapshots import Snapshotter
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.control.voter import Voter
+from fuchsiatrack.daemon.context import Context
+from fuchsiatrack.daemon.operator import OperatorServer
+from fuchsiatrack.daemon.peerservice import PeerService
+from fuchsiatrack.daemon.shard import Ownership, ServiceRuntime
+from fuchsiatrack.kernel import metrics, registry
+from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.kernel.settings import Settings
+from fuchsiatrack.model.objectset import ObjectSet
+from fuchsiatrack.peers.directory import PeerDirectory
+from fuchsiatrack.reports.levels import LevelBook
+from fuchsiatrack.routing.admission import Admission
+from fuchsiatrack.routing.connections import ServerConnections
+from fuchsiatrack.routing.exchange import ExchangeParts
+from fuchsiatrack.routing.limits import LimitBook
+from fuchsiatrack.routing.refusal import Reason, Refusal
+from fuchsiatrack.routing.server import CallerServer
+
+CONFIG_STREAM = "config"
+CONFIG_SHARD = "config"
+DRAIN_TIMEOUT = 2_000
+BACKLOG = 1_024
+
+log = logging.getLogger(__name__)
+
+
+class Configuration:
+    """Control of the published objects: replay, leadership, decisions, snapshots."""
+
+    def __init__(self, context: Context) -> None:
+        settings = context.settings
+        self.follower = context.follow(CONFIG_STREAM, ShardState)
+        self.writer = context.write(self.follower)
+        self.leadership = context.lead(CONFIG_SHARD, self.follower, self.writer)
+        self.acceptor = Acceptor(self.leadership, self.follower, self.writer, context.clock)
+        self.snapshots = Snapshotter(
+            self.follower,
+            self.writer,
+            self.leadership.may_act,
+            context.clock,
+            settings.snapshot_records,
+            settings.timings.snapshot_period,
+        )
+
+
+class DaemonProcess:
+    """Everything that one daemon runs."""
+
+    def __init__(self, settings: Settings) -> None:
+        registry.load_plugins()
+        self._settings = settings
+        self._stop = asyncio.Event()
+        self._tasks: dict[str, asyncio.Task] = {}
+        self.context = _create_context(settings)
+        self.config = Configuration(self.context)
+        self.levels = LevelBook(self.context.clock)
+        self.connections = ServerConnections(settings.requests.max_daemons)
+        self.runtimes: dict[str, ServiceRuntime] = {}
+        limits = LimitBook(self.context.clock, lambda: self.context.peers.fleet_size)
+        self.caller_server = CallerServer(
+            Admission(self.objects, limits, self.context.clock),
+            self._parts_for,
+            self.levels,
+            lambda: self.is_ready,
+            self.context.clock,
+            self.context.metrics,
+            settings.requests,
+        )
+
+    def objects(self) -> ObjectSet:
+        """Return the set of objects in force."""
+        return self.config.follower.state.objects
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the daemon has replayed everything that it needs to serve."""
+        if not self.config.follower.caught_up.is_set():
+            return False
+        return all(runtime.is_ready for runtime in self.runtimes.values())
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a graceful stop has begun."""
+        return self._stop.is_set()
+
+    @property
+    def appends(self) -> int:
+        """Appends that this daemon has sent to control streams."""
+        owned = (item.ownership for item in self.runtimes.values() if item.ownership)
+        return self.config.writer.appends + sum(item.writer.appends for item in owned)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop without cutting off a request."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        self._follow_configuration()
+        peer_server = await self._start_peer_server()
+        runners = await self._start_listeners()
+        log.info("started", extra={"incarnation": self.context.me.incarnation})
+        await self._stop.wait()
+        await self._leave(runners[0])
+        for runner in runners:
+            await runner.cleanup()
+        peer_server.close()
+        await self._close()
+        log.info("stopped")
+
+    # Start
+
+    def _follow_configuration(self) -> None:
+        config = self.config
+        config.follower.applied.pipe(
+            operators.filter(lambda applied: isinstance(applied.record, Accept))
+        ).subscribe(lambda applied: self._sync_services())
+        self._spawn("peers", self.context.peers.run())
+        self._spawn("config", config.follower.run())
+        self._spawn("config-start", self._sync_when_caught_up())
+        self._spawn("config-leadership", config.leadership.run())
+        self._spawn("config-acceptor", config.acceptor.run())
+        self._spawn("config-snapshots", config.snapshots.run())
+
+    async def _sync_when_caught_up(self) -> None:
+        await self.config.follower.caught_up.wait()
+        self._sync_services()
+
+    def _sync_services(self) -> None:
+        """Start what new services need; a service that was withdrawn goes on until restart."""
+        for name, service in self.objects().services.items():
+            if name not in self.runtimes:
+                runtime = ServiceRuntime(
+                    name,
+                    service.keyed,
+                    self.context,
+                    self.objects,
+                    self.connections,
+                    self.levels,
+                    self.config.leadership.may_act,
+                )
+                self.runtimes[name] = runtime
+                self._spawn(f"service-{name}", runtime.run())
+
+    def _spawn(self, name: str, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job, name=name)
+        task.add_done_callback(self._note_end)
+        self._tasks[name] = task
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception():
+            # A part that fails is a defect; without it the daemon must not go on.
+            log.error("task failed", extra={"task": task.get_name()}, exc_info=task.exception())
+            self._stop.set()
+
+    async def _start_peer_server(self) -> grpclib.server.Server:
+        service = PeerService(
+            self.context.me, self.context.voter, self._find_ownership, lambda: self.is_ready
+        )
+        server = grpclib.server.Server([service])
+        listen = self._settings.listen
+        await server.start(listen.address, listen.peer_port)
+        return server
+
+    def _find_ownership(self, service: str) -> Ownership | None:
+        runtime = self.runtimes.get(service)
+        return runtime.ownership if runtime else None
+
+    async def _start_listeners(self) -> list[web.BaseRunner]:
+        listen = self._settings.listen
+        callers = self.caller_server.build_runner()
+        operators_runner = web.AppRunner(OperatorServer(self).build(), access_log=None)
+        for runner, port in (
+            (callers, listen.caller_port),
+            (operators_runner, listen.operator_port),
+        ):
+            await runner.setup()
+            await web.TCPSite(runner, listen.address, port, backlog=BACKLOG).start()
+        return [callers, operators_runner]
+
+    # Stop
+
+    async def _leave(self, callers: web.BaseRunner) -> None:
+        """Leave the balancer, hand over the terms, and finish what is in flight."""
+        timings = self._settings.timings
+        self.caller_server.leave()
+        await self.context.clock.sleep(timings.leave_notice)
+        await asyncio.gather(*(item.resign() for item in self._leaderships()))
+        for site in tuple(callers.sites):
+            await site.stop()
+        if not await self.caller_server.wait_idle(timings.shutdown_grace):
+            log.warning("requests cut off", extra={"count": self.caller_server.in_flight})
+        for runtime in self.runtimes.values():
+            await runtime.orders.ledger.drain(DRAIN_TIMEOUT)
+
+    def _leaderships(self) -> list[Leadership]:
+        owned = (item.ownership for item in self.runtimes.values() if item.ownership)
+        return [self.config.leadership, *(item.leadership for item in owned)]
+
+    async def _close(self) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await self.connections.close()
+        await self.context.session.close()
+        await self.context.peers.close()
+        await self.context.log.close()
+
+    def _parts_for(self, service: str) -> ExchangeParts:
+        runtime = self.runtimes.get(service)
+        if runtime is None:
+            raise Refusal(Reason.NOT_READY, retry_after=1_000)
+        return runtime.parts
+
+
+def _create_context(settings: Settings) -> Context:
+    clock = SystemClock()
+    incarnation = f"{settings.vm}.{settings.incarnation}.{secrets.token_hex(6)}"
+    me = Daemon(
+        settings.vm,
+        incarnation,
+        settings.failure_domain,
+        settings.listen.address,
+        settings.listen.peer_port,
+    )
+    platform, timings = settings.platform, settings.timings
+    vm_list = registry.find("vm_list", platform.vm_list)(platform.vm_list_url, timings.log_timeout)
+    return Context(
+        settings=settings,
+        me=me,
+        clock=clock,
+        metrics=metrics.create(settings.statsd),
+        log=registry.find("log", platform.log)(platform.log_url, timings.log_timeout),
+        peers=PeerDirectory(me, vm_list, clock, timings.vm_poll),
+        voter=Voter(clock, timings.support_lease),
+        session=aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, limit_per_host=4, keepalive_timeout=5)
+        ),
+        rng=random.Random(),
+    )
--- /dev/null
+++ b/src/fuchsiatrack/daemon/main.py
@@ -0,0 +1,43 @@
+"""Entry point of `fuchsiatrackd`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import pathlib
+import sys
+
+from absl import app, flags
+
+from fuchsiatrack.daemon.daemon import DaemonProcess
+from fuchsiatrack.kernel import logs
+from fuchsiatrack.kernel.settings import Settings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+_SETTINGS = flags.DEFINE_string("settings", None, "YAML file with the daemon's settings.")
+
+
+async def _serve(settings: Settings) -> None:
+    await DaemonProcess(settings).run()
+
+
+def _main(argv: list[str]) -> int:
+    result = load_settings(pathlib.Path(_SETTINGS.value))
+    if result.is_error():
+        print("\n".join(result.error), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logs.configure(result.ok.vm, result.ok.log_level)
+    gc.freeze()
+    asyncio.run(_serve(result.ok))
+    return 0
+
+
+def run() -> None:
+    """Run the daemon until it is stopped."""
+    flags.mark_flag_as_required("settings")
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/fuchsiatrack/daemon/operator.py
@@ -0,0 +1,114 @@
+"""The listener for operators' reads."""
+
+from __future__ import annotations
+
+import dataclasses
+import resource
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from fuchsiatrack.control import leadership as leaderships
+
+if TYPE_CHECKING:
+    from fuchsiatrack.daemon.daemon import DaemonProcess
+    from fuchsiatrack.daemon.shard import ServiceRuntime
+
+
+class OperatorServer:
+    """Answers status, ownership, revisions and service levels as JSON; changes nothing."""
+
+    def __init__(self, daemon: DaemonProcess) -> None:
+        self._daemon = daemon
+
+    def build(self) -> web.Application:
+        """Return the web application."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get("/status", self._status),
+                web.get("/ownership", self._ownership),
+                web.get("/revisions", self._revisions),
+                web.get("/levels", self._levels),
+            ]
+        )
+        return application
+
+    async def _status(self, request: web.Request) -> web.Response:
+        daemon, state = self._daemon, self._daemon.config.follower.state
+        body = {
+            "vm": daemon.context.me.vm,
+            "incarnation": daemon.context.me.incarnation,
+            "failure_domain": daemon.context.me.failure_domain,
+            "ready": daemon.is_ready,
+            "stopping": daemon.is_stopping,
+            "revision": state.revision,
+            "in_flight": daemon.caller_server.in_flight,
+            "appends": daemon.appends,
+            "log_age_ms": daemon.context.clock.now() - daemon.config.follower.read_at,
+            "peers": [peer.vm for peer in daemon.context.peers.reachable],
+            "cpu_s": _cpu_seconds(),
+            "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            "shards": [self._shard(daemon.config.leadership, state)]
+            + [
+                self._shard(runtime.ownership.leadership, runtime.ownership.follower.state)
+                for runtime in daemon.runtimes.values()
+                if runtime.ownership
+            ],
+            "services": [
+                self._service(name, runtime) for name, runtime in sorted(daemon.runtimes.items())
+            ],
+        }
+        return web.json_response(body)
+
+    def _shard(self, leadership: Any, state: Any) -> dict[str, Any]:
+        return dataclasses.asdict(leaderships.report(leadership, state))
+
+    def _service(self, name: str, runtime: ServiceRuntime) -> dict[str, Any]:
+        body: dict[str, Any] = {"service": name, "keyed": runtime.ownership is not None}
+        if runtime.ownership:
+            partitions, unavailable = runtime.ownership.unavailable()
+            body |= {"partitions": partitions, "unavailable": unavailable}
+            body["servers"] = _partition_counts(runtime.ownership.follower.state.ownership)
+            body["moves"] = runtime.ownership.moves.count
+        return body
+
+    async def _ownership(self, request: web.Request) -> web.Response:
+        body = {
+            name: {
+                partition: dataclasses.asdict(owner)
+                for partition, owner in runtime.ownership.follower.state.ownership.items()
+            }
+            for name, runtime in self._daemon.runtimes.items()
+            if runtime.ownership
+        }
+        return web.json_response(body)
+
+    async def _revisions(self, request: web.Request) -> web.Response:
+        state = self._daemon.config.follower.state
+        body = {
+            "revision": state.revision,
+            "pending": sorted(state.pending),
+            "decisions": [dataclasses.asdict(item) for item in state.decisions],
+        }
+        return web.json_response(body)
+
+    async def _levels(self, request: web.Request) -> web.Response:
+        objectives = {
+            name: dataclasses.asdict(service.objectives)
+            for name, service in self._daemon.objects().services.items()
+        }
+        return web.json_response({"objectives": objectives, "windows": self._daemon.levels.dump()})
+
+
+def _cpu_seconds() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def _partition_counts(ownership: Mapping[str, Any]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for owner in ownership.values():
+        counts[owner.server] = counts.get(owner.server, 0) + 1
+    return counts
--- /dev/null
+++ b/src/fuchsiatrack/daemon/shard.py
@@ -0,0 +1,192 @@
+"""All that a daemon runs for one service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from fuchsiatrack.control.assigner import Assigner
+from fuchsiatrack.control.follower import Applied
+from fuchsiatrack.control.orders import OrderLedger, OrdersState
+from fuchsiatrack.control.records import Move
+from fuchsiatrack.control.routelease import RouteLease, RouteLeases
+from fuchsiatrack.control.snapshots import Snapshotter
+from fuchsiatrack.control.state import ShardState
+from fuchsiatrack.daemon.context import Context
+from fuchsiatrack.model.objectset import ObjectSet
+from fuchsiatrack.reports.levels import LevelBook
+from fuchsiatrack.routing.connections import ServerConnections
+from fuchsiatrack.routing.exchange import Chooser, ExchangeParts, KeyedChooser, PoolChooser
+from fuchsiatrack.routing.locator import Locator
+from fuchsiatrack.routing.pool import ServerPool
+from fuchsiatrack.routing.retries import RetryBudget
+
+WATCH_PERIOD = 200
+
+
+class MoveCounter:
+    """Counts partitions that have begun to leave their owners."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def note(self, applied: Applied) -> None:
+        """Take in a replayed record."""
+        if applied.valid and isinstance(applied.record, Move):
+            self.count += len(applied.record.placed)
+
+
+class Orders:
+    """The order ledger of one service with its stream."""
+
+    def __init__(self, service: str, context: Context, may_snapshot: Callable[[], bool]) -> None:
+        settings = context.settings
+        self.follower = context.follow(f"orders-{service}", OrdersState)
+        writer = context.write(self.follower)
+        self.ledger = OrderLedger(self.follower, writer, context.clock)
+        self._snapshots = Snapshotter(
+            self.follower,
+            writer,
+            may_snapshot,
+            context.clock,
+            settings.snapshot_records,
+            settings.timings.snapshot_period,
+        )
+
+    def jobs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run."""
+        return [self.follower.run(), self.ledger.run(), self._snapshots.run()]
+
+
+class Ownership:
+    """Control of one keyed service: replay, leadership, assignment, leave to route."""
+
+    def __init__(self, service: str, context: Context, objects: Callable[[], ObjectSet]) -> None:
+        timings, clock = context.settings.timings, context.clock
+        self.service = service
+        self._objects = objects
+        self._clock = clock
+        self.follower = context.follow(f"shard-{service}", ShardState)
+        self.writer = context.write(self.follower)
+        self.leadership = context.lead(service, self.follower, self.writer)
+        self.leases = RouteLeases(self.leadership, clock, timings.grant_lease, self._settle_time)
+        self.assigner = Assigner(
+            service,
+            self.leadership,
+            self.follower,
+            self.writer,
+            objects,
+            context.peers,
+            self.leases,
+            context.session,
+            clock,
+            timings,
+        )
+        self.lease = RouteLease(
+            service,
+            context.me,
+            lambda: self.follower.state,
+            context.peers,
+            clock,
+            timings.grant_lease,
+            timings.grant_period,
+        )
+        self.locator = Locator(service, objects, self.follower, self.lease, clock)
+        self.lease.unsettled = self.locator.unsettled
+        self.lease.take_load = self.locator.take_load
+        self.moves = MoveCounter()
+        self.follower.applied.subscribe(self.moves.note)
+        self._snapshots = Snapshotter(
+            self.follower,
+            self.writer,
+            self.leadership.may_act,
+            clock,
+            context.settings.snapshot_records,
+            timings.snapshot_period,
+        )
+
+    def jobs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run."""
+        return [
+            self.follower.run(),
+            self.leadership.run(),
+            self.assigner.run(),
+            self.lease.run(),
+            self._snapshots.run(),
+        ]
+
+    def unavailable(self) -> tuple[int, int]:
+        """Return how many partitions there are, and how many have no owner now."""
+        ownership = self.follower.state.ownership
+        names = self._objects().partitions(self.service).keys() | ownership.keys()
+        served = sum(1 for name in names if name in ownership and not ownership[name].revoked)
+        return len(names), len(names) - served
+
+    def _settle_time(self) -> int:
+        service = self._objects().services.get(self.service)
+        return service.max_deadline if service else 0
+
+
+class ServiceRuntime:
+    """Everything that runs for one service; stopped as a whole."""
+
+    def __init__(
+        self,
+        service: str,
+        keyed: bool,
+        context: Context,
+        objects: Callable[[], ObjectSet],
+        connections: ServerConnections,
+        levels: LevelBook,
+        leads_configuration: Callable[[], bool],
+    ) -> None:
+        self._service = service
+        self._context = context
+        self._levels = levels
+        self.ownership = Ownership(service, context, objects) if keyed else None
+        may_snapshot = self.ownership.leadership.may_act if self.ownership else leads_configuration
+        self.orders = Orders(service, context, may_snapshot)
+        self.parts = ExchangeParts(
+            self._chooser(objects),
+            connections,
+            self.orders.ledger,
+            RetryBudget(),
+            context.clock,
+            context.metrics,
+            context.rng,
+            context.settings.requests.body_idle_timeout,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether all streams have been replayed to their heads."""
+        owned = self.ownership is None or self.ownership.follower.caught_up.is_set()
+        return owned and self.orders.follower.caught_up.is_set()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        jobs = self.orders.jobs()
+        if self.ownership:
+            jobs += [*self.ownership.jobs(), self._watch_keys(self.ownership)]
+        async with asyncio.TaskGroup() as tasks:
+            for job in jobs:
+                tasks.create_task(job)
+
+    def _chooser(self, objects: Callable[[], ObjectSet]) -> Chooser:
+        if self.ownership:
+            return KeyedChooser(self.ownership.locator)
+        context = self._context
+        is_leaving = context.peers.is_leaving
+        return PoolChooser(
+            ServerPool(self._service, objects, is_leaving, context.clock, context.rng)
+        )
+
+    async def _watch_keys(self, ownership: Ownership) -> None:
+        clock = self._context.clock
+        last = clock.now()
+        while True:
+            await clock.sleep(WATCH_PERIOD)
+            now = clock.now()
+            self._levels.watch(self._service, *ownership.unavailable(), now - last)
+            last = now
--- /dev/null
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -0,0 +1,168 @@
+"""Settings of a daemon, read from one YAML file and checked whole before any port opens."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Annotated, Any
+
+import pydantic
+import pydantic_core
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field, TypeAdapter
+
+from fuchsiatrack.kernel.documents import read_documents
+
+_STRICT = ConfigDict(extra="forbid", strict=True)
+
+
+def _check_ip(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+def _check_url(value: str) -> str:
+    scheme, _, rest = value.partition("://")
+    host = rest.partition("/")[0].rpartition(":")[0]
+    if scheme != "http":
+        raise ValueError("expected http://IP:PORT")
+    _check_ip(host)
+    return value.rstrip("/")
+
+
+IPAddress = Annotated[str, pydantic.AfterValidator(_check_ip)]
+URL = Annotated[str, pydantic.AfterValidator(_check_url)]
+Port = Annotated[int, Field(ge=1, le=65_535)]
+Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class ListenSettings:
+    """Address of this VM and the ports of the daemon's three listeners."""
+
+    address: IPAddress
+    caller_port: Port = 8080
+    operator_port: Port = 8081
+    peer_port: Port = 8082
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class PlatformSettings:
+    """Where the platform's log and VM list answer, and which plug-ins speak to them."""
+
+    log_url: URL
+    vm_list_url: URL
+    log: str = "http"
+    vm_list: str = "http"
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class TimingSettings:
+    """Durations of the control protocol, in milliseconds.
+
+    `grant_lease` bounds how long a lost backend server's keys stay without an owner;
+    `support_lease` bounds how long a lost leader is still followed.
+    """
+
+    support_lease: Milliseconds = 900
+    support_period: Milliseconds = 250
+    grant_lease: Milliseconds = 2_000
+    grant_period: Milliseconds = 400
+    grant_timeout: Milliseconds = 500
+    vm_poll: Milliseconds = 500
+    log_timeout: Milliseconds = 2_000
+    log_wait: Milliseconds = 1_000
+    shutdown_grace: Milliseconds = 300_000
+    leave_notice: Milliseconds = 1_000
+    snapshot_period: Milliseconds = 60_000
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class RequestSettings:
+    """Bounds on callers' requests; sizes in bytes, times in milliseconds."""
+
+    max_header: Annotated[int, Field(ge=1_024, le=65_536)] = 16_384
+    max_body: Annotated[int, Field(ge=1, le=1 << 34)] = 1 << 30
+    head_timeout: Milliseconds = 5_000
+    body_idle_timeout: Milliseconds = 10_000
+    max_daemons: Annotated[int, Field(ge=1, le=1_000)] = 10
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class StatsdSettings:
+    """Where metrics go."""
+
+    address: IPAddress
+    port: Port = 8125
+
+
+@pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
+class Settings:
+    """Everything that one daemon learns from its settings file."""
+
+    vm: Name
+    failure_domain: Name
+    incarnation: Annotated[str, Field(pattern=r"^[A-Za-z0-9-]{1,40}$")]
+    listen: ListenSettings
+    platform: PlatformSettings
+    timings: TimingSettings = TimingSettings()
+    requests: RequestSettings = RequestSettings()
+    statsd: StatsdSettings | None = None
+    snapshot_records: Annotated[int, Field(ge=10, le=1_000_000)] = 500
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+_ADAPTER = TypeAdapter(Settings)
+
+
+def load_settings(path: pathlib.Path) -> Result[Settings, list[str]]:
+    """Return the checked settings in *path*, or one line for each fault.
+
+    A line has the form ``FILE: FIELD: why (got VALUE)``.
+    """
+    result = read_documents(path)
+    if result.is_error():
+        return Error([f"{path}: {result.error}"])
+    if len(result.ok) != 1:
+        return Error([f"{path}: expected one document (got {len(result.ok)})"])
+    return _validate(path, result.ok[0]).bind(lambda settings: _check_timings(path, settings))
+
+
+def _validate(path: pathlib.Path, document: Any) -> Result[Settings, list[str]]:
+    try:
+        # By way of JSON, where mappings stand for data classes and strings convert to nothing.
+        return Ok(_ADAPTER.validate_json(pydantic_core.to_json(document)))
+    except pydantic.ValidationError as error:
+        return Error([f"{path}: {describe_error(item)}" for item in error.errors()])
+    except ValueError as error:
+        return Error([f"{path}: document: {error}"])
+
+
+def describe_error(item: Any) -> str:
+    """Return ``FIELD: why (got VALUE)`` for one error that pydantic reports."""
+    field = ".".join(str(part) for part in item["loc"]) or "document"
+    value = repr(item["input"])
+    return f"{field}: {item['msg']} (got {value[:80]})"
+
+
+def _check_timings(path: pathlib.Path, settings: Settings) -> Result[Settings, list[str]]:
+    timings = settings.timings
+    rules = (
+        ("support_period", timings.support_period * 2, "support_lease", timings.support_lease),
+        ("grant_period", timings.grant_period * 2, "grant_lease", timings.grant_lease),
+        ("support_lease", timings.support_lease, "grant_lease", timings.grant_lease),
+    )
+    faults = [
+        f"{path}: timings.{small}: leaves no room inside {large}"
+        f" (got {getattr(timings, small)} and {limit})"
+        for small, needed, large, limit in rules
+        if needed >= limit
+    ]
+    return Error(faults) if faults else Ok(settings)
+
+
+def as_dict(settings: Settings) -> dict[str, Any]:
+    """Return the settings as plain data, for logs and reports."""
+    return dataclasses.asdict(settings)
--- /dev/null
+++ b/src/fuchsiatrack/kernel/verdict.py
@@ -0,0 +1,24 @@
+"""Whether a request may have run on a backend server."""
+
+from __future__ import annotations
+
+import enum
+
+VERDICT_HEADER = "Fuchsiatrack-Verdict"
+REASON_HEADER = "Fuchsiatrack-Reason"
+
+
+class Verdict(enum.Enum):
+    """What is known about the execution of a request.
+
+    `NOT_RUN` needs a proof; when nothing proves either case the verdict is `MAY_HAVE_RUN`.
+    """
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    MAY_HAVE_RUN = "may-have-run"
+
+    @property
+    def allows_resend(self) -> bool:
+        """Tell whether a request that is not idempotent may be sent again."""
+        return self is Verdict.NOT_RUN
--- /dev/null
+++ b/src/fuchsiatrack/model/objectset.py
@@ -0,0 +1,165 @@
+"""A whole set of named objects with look-ups, and how a key finds its partition."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import functools
+import hashlib
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from fuchsiatrack.model.objects import (
+    BackendServer,
+    Caller,
+    KeyRange,
+    Limit,
+    NamedObject,
+    Placement,
+    Service,
+)
+
+_ADAPTER = TypeAdapter(tuple[NamedObject, ...])
+
+
+@dataclasses.dataclass(frozen=True)
+class ObjectSet:
+    """An immutable set of named objects."""
+
+    objects: tuple[NamedObject, ...] = ()
+
+    @classmethod
+    def from_documents(cls, documents: Sequence[Any]) -> ObjectSet:
+        """Return the set that *documents* (plain mappings) describe.
+
+        Raises pydantic.ValidationError when one of them is malformed.
+        """
+        return cls(_ADAPTER.validate_json(json.dumps(list(documents))))
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 over the objects, independent of their order."""
+        parts = sorted(json.dumps(item, sort_keys=True) for item in self.to_documents())
+        return hashlib.sha256("\n".join(parts).encode()).hexdigest()
+
+    def to_documents(self) -> list[dict[str, Any]]:
+        """Return the objects as plain mappings."""
+        return _ADAPTER.dump_python(self.objects, mode="json")
+
+    def of(self, kind: type) -> dict[str, Any]:
+        """Return the objects of class *kind* by name."""
+        return self._by_kind.get(kind, {})
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """The services by name."""
+        return self.of(Service)
+
+    @property
+    def placements(self) -> dict[str, Placement]:
+        """The placements by name."""
+        return self.of(Placement)
+
+    def servers(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the backend servers of *service*, by name."""
+        return self._servers.get(service, ())
+
+    def key_ranges(self, service: str) -> tuple[KeyRange, ...]:
+        """Return the key ranges of *service*, ordered by their first key."""
+        return self._ranges.get(service, ())
+
+    def caller_by_digest(self, digest: str) -> Caller | None:
+        """Return the caller whose token has the SHA-256 *digest*."""
+        return self._callers.get(digest)
+
+    def limits(self, caller: str, service: str) -> tuple[Limit, ...]:
+        """Return the limits on *caller* at *service*."""
+        return self._limits.get((caller, service), ())
+
+    def range_of(self, service: str, key: str) -> KeyRange | None:
+        """Return the key range of *service* that holds *key*."""
+        ranges = self.key_ranges(service)
+        index = bisect.bisect_right(ranges, key, key=lambda item: item.first) - 1
+        if index < 0 or (ranges[index].last and key >= ranges[index].last):
+            return None
+        return ranges[index]
+
+    def partitions(self, service: str) -> dict[str, KeyRange]:
+        """Return the slot partitions of *service*, without those of hot keys."""
+        return {
+            partition_name(key_range, slot): key_range
+            for key_range in self.key_ranges(service)
+            for slot in range(key_range.slots)
+        }
+
+    @functools.cached_property
+    def _by_kind(self) -> dict[type, dict[str, Any]]:
+        grouped: dict[type, dict[str, Any]] = {}
+        for item in self.objects:
+            grouped.setdefault(type(item), {})[item.name] = item
+        return grouped
+
+    @functools.cached_property
+    def _servers(self) -> dict[str, tuple[BackendServer, ...]]:
+        return {
+            name: tuple(
+                sorted(
+                    (item for item in self.of(BackendServer).values() if item.service == name),
+                    key=lambda item: item.name,
+                )
+            )
+            for name in self.services
+        }
+
+    @functools.cached_property
+    def _ranges(self) -> dict[str, tuple[KeyRange, ...]]:
+        return {
+            name: tuple(
+                sorted(
+                    (item for item in self.of(KeyRange).values() if item.service == name),
+                    key=lambda item: item.first,
+                )
+            )
+            for name in self.services
+        }
+
+    @functools.cached_property
+    def _callers(self) -> dict[str, Caller]:
+        return {item.token_sha256: item for item in self.of(Caller).values()}
+
+    @functools.cached_property
+    def _limits(self) -> dict[tuple[str, str], tuple[Limit, ...]]:
+        grouped: dict[tuple[str, str], tuple[Limit, ...]] = {}
+        for item in self.of(Limit).values():
+            target = (item.caller, item.service)
+            grouped[target] = (*grouped.get(target, ()), item)
+        return grouped
+
+
+def partition_name(key_range: KeyRange, slot: int) -> str:
+    """Return the name of partition *slot* of *key_range*."""
+    return f"{key_range.name}/{slot}"
+
+
+def slot_of(key_range: KeyRange, key: str) -> str:
+    """Return the name of the slot partition that *key* hashes to."""
+    hashed = int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "big")
+    return partition_name(key_range, hashed % key_range.slots)
+
+
+def hot_partition(slot: str, key: str) -> str:
+    """Return the name of the partition that holds only *key*, split out of *slot*."""
+    return f"{slot}/key:{key}"
+
+
+def slot_of_hot(partition: str) -> str:
+    """Return the slot partition that the hot partition *partition* was split out of."""
+    return partition.partition("/key:")[0]
+
+
+def key_of_hot(partition: str) -> str:
+    """Return the key of a hot partition, or "" when *partition* is a slot."""
+    return partition.partition("/key:")[2]
--- /dev/null
+++ b/src/fuchsiatrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: the append-only log and the list of VMs."""
--- /dev/null
+++ b/src/fuchsiatrack/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins that register themselves with the kernel when they are imported."""
--- /dev/null
+++ b/src/fuchsiatrack/plugins/placement.py
@@ -0,0 +1,150 @@
+"""Placement policies: which backend server should own which partition."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import hashlib
+import math
+from collections.abc import Mapping, Sequence
+
+from fuchsiatrack.kernel.registry import register
+
+
+@dataclasses.dataclass(frozen=True)
+class PlacementInput:
+    """What a policy decides on.
+
+    `owners` maps a partition to its present owner; `load` maps a partition to its share of the
+    work, in requests a second; `capacity` maps a usable server to its slots.
+    """
+
+    partitions: Sequence[str]
+    owners: Mapping[str, str]
+    load: Mapping[str, float]
+    capacity: Mapping[str, int]
+
+
+class PlacementPolicy(abc.ABC):
+    """Chooses an owner for each partition."""
+
+    @abc.abstractmethod
+    def place(self, given: PlacementInput) -> dict[str, str]:
+        """Return the wanted owner of each partition; empty when no server is usable."""
+
+
+def _score(partition: str, server: str, capacity: int) -> float:
+    digest = hashlib.blake2b(f"{partition}\0{server}".encode(), digest_size=8).digest()
+    uniform = (int.from_bytes(digest, "big") + 1) / (2**64 + 1)
+    return -capacity / math.log(uniform)
+
+
+def rank_servers(partition: str, capacity: Mapping[str, int]) -> list[str]:
+    """Return the servers by weighted rendezvous hashing, best first."""
+    return sorted(capacity, key=lambda server: -_score(partition, server, capacity[server]))
+
+
+@register("placement", "rendezvous")
+class RendezvousPlacement(PlacementPolicy):
+    """The best server by weighted rendezvous hashing; knows nothing of load."""
+
+    def place(self, given: PlacementInput) -> dict[str, str]:
+        if not given.capacity:
+            return {}
+        return {
+            partition: max(
+                given.capacity, key=lambda name: _score(partition, name, given.capacity[name])
+            )
+            for partition in given.partitions
+        }
+
+
+@register("placement", "bounded-load")
+class BoundedLoadPlacement(PlacementPolicy):
+    """Keeps present owners, and gives no server more than a bounded share of partitions.
+
+    A partition without a usable owner goes to the best server by rendezvous hashing that is
+    below its bound.  A partition above its owner's bound is moved.
+    """
+
+    bound = 1.25
+
+    def place(self, given: PlacementInput) -> dict[str, str]:
+        if not given.capacity:
+            return {}
+        weights = self._weights(given)
+        limits = self._limits(given, sum(weights.values()))
+        used = dict.fromkeys(given.capacity, 0.0)
+        wanted: dict[str, str] = {}
+        for partition in sorted(given.partitions, key=lambda name: (-weights[name], name)):
+            owner = given.owners.get(partition, "")
+            if owner in used and used[owner] + weights[partition] <= limits[owner]:
+                wanted[partition] = owner
+                used[owner] += weights[partition]
+        for partition in given.partitions:
+            if partition not in wanted:
+                server = self._choose(partition, given, weights[partition], used, limits)
+                wanted[partition] = server
+                used[server] += weights[partition]
+        return wanted
+
+    def _weights(self, given: PlacementInput) -> dict[str, float]:
+        return dict.fromkeys(given.partitions, 1.0)
+
+    def _limits(self, given: PlacementInput, total: float) -> dict[str, float]:
+        slots = sum(given.capacity.values())
+        return {
+            server: math.ceil(self.bound * total * capacity / slots)
+            for server, capacity in given.capacity.items()
+        }
+
+    def _choose(
+        self,
+        partition: str,
+        given: PlacementInput,
+        weight: float,
+        used: Mapping[str, float],
+        limits: Mapping[str, float],
+    ) -> str:
+        ranked = rank_servers(partition, given.capacity)
+        fitting = (server for server in ranked if used[server] + weight <= limits[server])
+        least = min(ranked, key=lambda server: used[server] / given.capacity[server])
+        return next(fitting, least)
+
+
+@register("placement", "load-aware")
+class LoadAwarePlacement(BoundedLoadPlacement):
+    """Like bounded load, but weighs each partition by its measured work.
+
+    `hysteresis` is the share by which a server may exceed its fair work before one of its
+    partitions moves; it keeps small changes of load from moving keys.
+    """
+
+    bound = 1.1
+    hysteresis = 0.3
+
+    def _weights(self, given: PlacementInput) -> dict[str, float]:
+        total = sum(given.load.get(name, 0.0) for name in given.partitions)
+        mean = total / len(given.partitions) if given.partitions else 0.0
+        floor = mean / 4 or 1.0
+        return {name: max(given.load.get(name, 0.0), floor) for name in given.partitions}
+
+    def _limits(self, given: PlacementInput, total: float) -> dict[str, float]:
+        slots = sum(given.capacity.values())
+        return {
+            server: (1 + self.hysteresis) * total * capacity / slots
+            for server, capacity in given.capacity.items()
+        }
+
+    def _choose(
+        self,
+        partition: str,
+        given: PlacementInput,
+        weight: float,
+        used: Mapping[str, float],
+        limits: Mapping[str, float],
+    ) -> str:
+        return min(
+            rank_servers(partition, given.capacity),
+            key=lambda server: (used[server] + weight) / given.capacity[server],
+        )
--- /dev/null
+++ b/src/fuchsiatrack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: admission, choice of a server, attempts, the answer."""
--- /dev/null
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -0,0 +1,254 @@
+"""One caller's request from admission to answer: choice of server, sends, retries, orders."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import random
+import secrets
+
+from aiohttp import web
+
+from fuchsiatrack.control.orders import Beginning, OrderLedger
+from fuchsiatrack.control.records import Attempt
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.metrics import Metrics
+from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.routing import headers
+from fuchsiatrack.routing.admission import Admitted
+from fuchsiatrack.routing.answers import TruncatedAnswer, relay
+from fuchsiatrack.routing.body import RequestBody
+from fuchsiatrack.routing.connections import (
+    Answered,
+    Failed,
+    Sending,
+    ServerConnections,
+    Target,
+)
+from fuchsiatrack.routing.locator import Locator
+from fuchsiatrack.routing.pool import ServerPool
+from fuchsiatrack.routing.refusal import Reason, Refusal
+from fuchsiatrack.routing.retries import RetryBudget, backoff
+
+# How long an order waits for the log where the server itself refuses repeats.
+ORDER_LOG_WAIT = 400
+# Sends of one request, however much of its time is left.
+MAX_SENDS = 40
+
+
+class Chooser(abc.ABC):
+    """Chooses where a request is sent."""
+
+    @abc.abstractmethod
+    async def choose(self, admitted: Admitted, avoid: frozenset[str]) -> Target:
+        """Return the target of the next send; raise Refusal when there is none in time."""
+
+    @abc.abstractmethod
+    def begin(self, target: Target) -> None:
+        """Count a send."""
+
+    @abc.abstractmethod
+    def end(self, target: Target, latency: int, failed: bool) -> None:
+        """Count the end of a send; *latency* in milliseconds."""
+
+
+class KeyedChooser(Chooser):
+    """The owner of the request's key."""
+
+    def __init__(self, locator: Locator) -> None:
+        self._locator = locator
+
+    async def choose(self, admitted: Admitted, avoid: frozenset[str]) -> Target:
+        return await self._locator.locate(admitted.key, admitted.deadline)
+
+    def begin(self, target: Target) -> None:
+        self._locator.begin(target)
+
+    def end(self, target: Target, latency: int, failed: bool) -> None:
+        self._locator.end(target)
+
+
+class PoolChooser(Chooser):
+    """Any server of the service, by the service's balancing policy."""
+
+    def __init__(self, pool: ServerPool) -> None:
+        self._pool = pool
+
+    async def choose(self, admitted: Admitted, avoid: frozenset[str]) -> Target:
+        return self._pool.choose(avoid)
+
+    def begin(self, target: Target) -> None:
+        self._pool.begin(target)
+
+    def end(self, target: Target, latency: int, failed: bool) -> None:
+        self._pool.end(target, latency, failed)
+
+
+@dataclasses.dataclass(frozen=True)
+class ExchangeParts:
+    """What an exchange works with."""
+
+    chooser: Chooser
+    connections: ServerConnections
+    ledger: OrderLedger
+    budget: RetryBudget
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    body_idle_timeout: int
+
+
+class Exchange:
+    """Serves one admitted request.  Times are in milliseconds."""
+
+    def __init__(
+        self,
+        request: web.Request,
+        path: str,
+        admitted: Admitted,
+        request_id: str,
+        parts: ExchangeParts,
+    ) -> None:
+        self._request = request
+        self._path = path
+        self._admitted = admitted
+        self._request_id = request_id
+        self._parts = parts
+        self._clock = parts.clock
+        self._body = RequestBody(request, admitted.service.max_body, parts.body_idle_timeout)
+        self._avoid: frozenset[str] = frozenset()
+        self._sends = 0
+        self._attempt: Attempt | None = None
+
+    async def run(self) -> web.StreamResponse:
+        """Return the server's answer.
+
+        Raises Refusal, and TruncatedAnswer when the caller already has part of an answer.
+        """
+        await self._body.hold_if_small()
+        target = await self._choose()
+        try:
+            await self._begin_order(target)
+            return await self._send_until_answered(target)
+        except Refusal as refusal:
+            if self._attempt and refusal.verdict is Verdict.NOT_RUN:
+                self._parts.ledger.free(self._attempt)
+            raise
+        except asyncio.CancelledError:
+            # The caller has gone away; what was never sent has not run.
+            if self._attempt and not self._sends:
+                self._parts.ledger.free(self._attempt)
+            raise
+
+    @property
+    def _left(self) -> int:
+        return self._admitted.deadline - self._clock.now()
+
+    async def _choose(self) -> Target:
+        return await self._parts.chooser.choose(self._admitted, self._avoid)
+
+    # Orders
+
+    async def _begin_order(self, target: Target) -> None:
+        """Make sure that the order id has not begun before, through any daemon."""
+        admitted = self._admitted
+        if admitted.idempotent or not admitted.order:
+            return
+        caller, trusted = admitted.caller.name, admitted.service.deduplicates
+        attempt = Attempt(caller, admitted.order, secrets.token_hex(8), target.fence)
+        wait = min(self._left, ORDER_LOG_WAIT) if trusted else self._left
+        self._attempt = attempt
+        beginning = await self._parts.ledger.begin(attempt, wait)
+        if beginning is Beginning.REPEAT:
+            self._attempt = None
+            known = self._parts.ledger.find(caller, admitted.order)
+            same_owner = known is not None and known.fence == target.fence
+            if not (trusted and same_owner and target.fence):
+                raise Refusal(Reason.REPEATED_ORDER, Verdict.MAY_HAVE_RUN)
+        elif beginning is Beginning.UNSETTLED and not trusted:
+            raise Refusal(Reason.ORDER_LOG, retry_after=2_000)
+
+    # Sends
+
+    async def _send_until_answered(self, target: Target) -> web.StreamResponse:
+        self._parts.budget.deposit()
+        while True:
+            outcome = await self._send(target)
+            if not isinstance(outcome, Failed):
+                return outcome
+            await self._prepare_resend(outcome, target)
+            target = await self._choose()
+
+    async def _send(self, target: Target) -> web.StreamResponse | Failed:
+        sending = self._sending(target)
+        if sending.deadline_ms <= 0:
+            return Failed(Verdict.NOT_RUN, Reason.DEADLINE)
+        started, failed = self._clock.now(), True
+        self._sends += 1
+        self._parts.chooser.begin(target)
+        try:
+            outcome = await self._parts.connections.send(target, sending)
+            if isinstance(outcome, Answered):
+                outcome = await self._relay(outcome)
+            failed = isinstance(outcome, Failed)
+            return outcome
+        finally:
+            self._parts.chooser.end(target, self._clock.now() - started, failed)
+
+    async def _relay(self, answered: Answered) -> web.StreamResponse | Failed:
+        try:
+            return await relay(
+                self._request, answered.response, self._request_id, max(self._left, 1)
+            )
+        except TruncatedAnswer as error:
+            self._parts.metrics.count("answers.truncated")
+            if error.passed_on:
+                raise
+            return Failed(Verdict.MAY_HAVE_RUN, Reason.TRUNCATED)
+
+    async def _prepare_resend(self, outcome: Failed, target: Target) -> None:
+        """Return when the request may be sent again; raise Refusal when it may not."""
+        self._parts.metrics.count(f"sends.{outcome.reason.label}")
+        refusal = Refusal(outcome.reason, outcome.verdict, retry_after=1_000)
+        allowed = outcome.verdict.allows_resend or self._admitted.idempotent
+        if not allowed or not self._body.can_resend:
+            raise refusal
+        pause = backoff(min(self._sends, 6), self._parts.rng)
+        if self._left <= pause or self._sends >= MAX_SENDS:
+            raise refusal
+        # A wait for the right owner adds no work for any server.
+        if outcome.reason is not Reason.NO_OWNER and not self._parts.budget.take():
+            raise refusal
+        self._avoid |= {target.server}
+        await asyncio.sleep(pause / 1_000)
+
+    def _sending(self, target: Target) -> Sending:
+        identity = f"{self._request_id}-{self._sends}"
+        left = self._left
+        sent = {
+            name: value
+            for name, value in self._request.headers.items()
+            if name.lower() not in headers.NOT_FORWARDED
+        }
+        sent[headers.REQUEST_ID] = identity
+        sent[headers.CALLER] = self._admitted.caller.name
+        sent[headers.DEADLINE] = str(left)
+        if self._admitted.key:
+            sent[headers.KEY] = self._admitted.key
+        if self._admitted.order:
+            sent[headers.ORDER] = self._admitted.order
+        if target.partition:
+            sent[headers.PARTITION] = target.partition
+            sent[headers.FENCE] = str(target.fence)
+        if self._body.length is not None:
+            sent["Content-Length"] = str(self._body.length)
+        return Sending(
+            self._request.method,
+            self._path,
+            sent,
+            self._body.to_send(),
+            identity,
+            self._admitted.idempotent,
+            left,
+        )
--- /dev/null
+++ b/src/fuchsiatrack/routing/locator.py
@@ -0,0 +1,108 @@
+"""Finding the owner of a key, and waiting through a move."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterator
+
+from fuchsiatrack.control.follower import Follower
+from fuchsiatrack.control.routelease import RouteLease
+from fuchsiatrack.control.state import Ownership, ShardState
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.model.objects import BackendServer
+from fuchsiatrack.model.objectset import ObjectSet, slot_of
+from fuchsiatrack.routing.connections import Target
+from fuchsiatrack.routing.refusal import Reason, Refusal
+
+LEASE_WAIT = 20
+
+
+class Locator:
+    """Knows where the keys of one service are.  Times are in milliseconds."""
+
+    def __init__(
+        self,
+        service: str,
+        objects: Callable[[], ObjectSet],
+        follower: Follower[ShardState],
+        lease: RouteLease,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._objects = objects
+        self._follower = follower
+        self._lease = lease
+        self._clock = clock
+        self._running: collections.Counter[tuple[str, int]] = collections.Counter()
+        self._sent: collections.Counter[str] = collections.Counter()
+        self._sent_since = clock.now()
+
+    async def locate(self, key: str, deadline: int) -> Target:
+        """Return the owner of *key*, waiting until *deadline* for one.
+
+        Raises Refusal.
+        """
+        while True:
+            target = self._find(key)
+            if target and (target.checks_grants or self._lease.is_fresh()):
+                return target
+            left = deadline - self._clock.now()
+            if left <= 0:
+                raise Refusal(Reason.NO_OWNER, retry_after=1_000)
+            await self._wait(key, min(left, LEASE_WAIT if target else 200))
+
+    def begin(self, target: Target) -> None:
+        """Count a request that is being sent to *target*."""
+        self._running[(target.partition, target.fence)] += 1
+        self._sent[target.partition] += 1
+
+    def end(self, target: Target) -> None:
+        """Count the end of a request that `begin` counted."""
+        counted = (target.partition, target.fence)
+        self._running[counted] -= 1
+        if not self._running[counted]:
+            del self._running[counted]
+
+    def unsettled(self) -> Iterator[str]:
+        """Yield partitions with requests in flight to an owner that is leaving or has left."""
+        for partition, fence in self._running:
+            owner = self._owner(partition)
+            if owner is None or owner.fence != fence or owner.revoked:
+                yield partition
+
+    def take_load(self) -> dict[str, float]:
+        """Return the requests a second by partition since the last call."""
+        now = self._clock.now()
+        elapsed = max(1, now - self._sent_since) / 1_000
+        load = {name: count / elapsed for name, count in self._sent.items()}
+        self._sent.clear()
+        self._sent_since = now
+        return load
+
+    async def _wait(self, key: str, timeout: int) -> None:
+        applied = self._follower.state.applied
+        await self._follower.wait_for(lambda: self._follower.state.applied != applied, timeout)
+
+    def _owner(self, partition: str) -> Ownership | None:
+        return self._follower.state.ownership.get(partition)
+
+    def _find(self, key: str) -> Target | None:
+        objects, state = self._objects(), self._follower.state
+        key_range = objects.range_of(self._service, key)
+        if key_range is None:
+            return None
+        partition = state.partition_of(slot_of(key_range, key), key)
+        owner = self._owner(partition)
+        if owner is None or owner.revoked:
+            return None
+        server = objects.of(BackendServer).get(owner.server)
+        if server is None:
+            return None
+        return Target(
+            server.name,
+            server.address,
+            server.connections,
+            partition,
+            owner.fence,
+            server.checks_grants,
+        )
--- /dev/null
+++ b/src/fuchsiatrack/routing/refusal.py
@@ -0,0 +1,66 @@
+"""Refusals: why a request was not answered, and what is known about its execution."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from aiohttp import web
+
+from fuchsiatrack.kernel.verdict import REASON_HEADER, VERDICT_HEADER, Verdict
+
+
+class Reason(enum.Enum):
+    """Why a request has no answer from a server; the value is the name on the wire."""
+
+    NO_TOKEN = ("no-token", 401)
+    UNKNOWN_CALLER = ("unknown-caller", 401)
+    FORBIDDEN = ("forbidden", 403)
+    NO_SERVICE = ("no-service", 404)
+    NO_KEY = ("no-key", 400)
+    BAD_HEADER = ("bad-header", 400)
+    TOO_LARGE = ("too-large", 413)
+    RATE_LIMIT = ("rate-limit", 429)
+    IN_FLIGHT_LIMIT = ("in-flight-limit", 429)
+    NO_OWNER = ("no-owner", 503)
+    NO_SERVER = ("no-server", 503)
+    NOT_READY = ("not-ready", 503)
+    SHED = ("shed", 503)
+    ORDER_LOG = ("order-log-unavailable", 503)
+    REPEATED_ORDER = ("repeated-order", 409)
+    DEADLINE = ("deadline", 504)
+    CONNECTION = ("connection", 502)
+    TRUNCATED = ("truncated-answer", 502)
+    CROSSED = ("crossed-answer", 502)
+    SLOW_CALLER = ("slow-caller", 408)
+
+    @property
+    def label(self) -> str:
+        """The name on the wire."""
+        return self.value[0]
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self.value[1]
+
+
+@dataclasses.dataclass(eq=False)
+class Refusal(Exception):
+    """A request that ends without a server's answer; `retry_after` in milliseconds, 0 for none."""
+
+    reason: Reason
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after: int = 0
+
+    def to_response(self, request_id: str) -> web.Response:
+        """Return the answer for the caller, as documented in docs/PROTOCOL.md."""
+        headers = {VERDICT_HEADER: self.verdict.value, REASON_HEADER: self.reason.label}
+        if self.retry_after:
+            headers["Retry-After"] = str(-(-self.retry_after // 1000))
+        body = {
+            "verdict": self.verdict.value,
+            "reason": self.reason.label,
+            "request_id": request_id,
+        }
+        return web.json_response(body, status=self.reason.status, headers=headers)
--- /dev/null
+++ b/src/fuchsiatrack/routing/server.py
@@ -0,0 +1,151 @@
+"""The listener for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable
+
+from aiohttp import web
+
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.metrics import Metrics
+from fuchsiatrack.kernel.settings import RequestSettings
+from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.reports.levels import Level, LevelBook
+from fuchsiatrack.routing.admission import Admission, Admitted
+from fuchsiatrack.routing.answers import TruncatedAnswer
+from fuchsiatrack.routing.exchange import Exchange, ExchangeParts
+from fuchsiatrack.routing.refusal import Reason, Refusal
+
+READY_PATH = "/-/ready"
+
+log = logging.getLogger(__name__)
+
+
+class CallerServer:
+    """Serves callers: ``/SERVICE/PATH`` goes to a backend server of SERVICE as ``/PATH``.
+
+    *parts_for* returns what an exchange for a service needs.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        parts_for: Callable[[str], ExchangeParts],
+        levels: LevelBook,
+        is_ready: Callable[[], bool],
+        clock: Clock,
+        metrics: Metrics,
+        settings: RequestSettings,
+    ) -> None:
+        self._admission = admission
+        self._parts_for = parts_for
+        self._levels = levels
+        self._is_ready = is_ready
+        self._clock = clock
+        self._metrics = metrics
+        self._settings = settings
+        self._stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.in_flight = 0
+
+    def build_runner(self) -> web.ServerRunner:
+        """Return the runner of the listener."""
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=self._settings.max_header,
+            max_field_size=self._settings.max_header,
+            keepalive_timeout=30.0,
+            lingering_time=2.0,
+        )
+        return web.ServerRunner(server)
+
+    def leave(self) -> None:
+        """Say to the balancer that no new work should come; what comes is still served."""
+        self._stopping = True
+
+    async def wait_idle(self, timeout: int) -> bool:
+        """Wait up to *timeout* milliseconds until no request is in flight."""
+        try:
+            async with asyncio.timeout(timeout / 1_000):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == READY_PATH:
+            return self._answer_ready()
+        self.in_flight += 1
+        self._idle.clear()
+        try:
+            response = await self._serve(request)
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self._idle.set()
+        if self._stopping:
+            response.force_close()
+        return response
+
+    def _answer_ready(self) -> web.Response:
+        ready = self._is_ready() and not self._stopping
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = secrets.token_hex(8)
+        started = self._clock.now()
+        service, _, path = request.raw_path.lstrip("/").partition("/")
+        service = service.partition("?")[0]
+        admitted: Admitted | None = None
+        try:
+            if not self._is_ready():
+                raise Refusal(Reason.NOT_READY, retry_after=1_000)
+            length = request.content_length or 0
+            admitted = self._admission.admit(request.method, service, request.headers, length)
+            parts = self._parts_for(service)
+            response = await Exchange(request, "/" + path, admitted, request_id, parts).run()
+        except Refusal as refusal:
+            self._log_refusal(request_id, service, admitted, refusal)
+            self._count(admitted, started, refusal)
+            return refusal.to_response(request_id)
+        except TruncatedAnswer:
+            self._count(admitted, started, Refusal(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN))
+            raise
+        finally:
+            if admitted:
+                self._admission.release(admitted)
+        self._count(admitted, started, None)
+        return response
+
+    def _count(self, admitted: Admitted | None, started: int, refusal: Refusal | None) -> None:
+        if admitted is None:
+            self._metrics.count("requests.not_admitted")
+            return
+        elapsed = self._clock.now() - started
+        within = elapsed <= admitted.service.objectives.within
+        level = Level(
+            sent=1,
+            good=int(refusal is None and within),
+            refused=int(refusal is not None and refusal.verdict is Verdict.NOT_RUN),
+            unsure=int(refusal is not None and refusal.verdict is Verdict.MAY_HAVE_RUN),
+        )
+        self._levels.count(admitted.service.name, admitted.caller.name, level)
+        self._metrics.time(f"requests.{admitted.service.name}", elapsed)
+
+    def _log_refusal(
+        self, request_id: str, service: str, admitted: Admitted | None, refusal: Refusal
+    ) -> None:
+        fields = {
+            "request_id": request_id,
+            "service": service,
+            "caller": admitted.caller.name if admitted else "",
+            "reason": refusal.reason.label,
+            "verdict": refusal.verdict.value,
+        }
+        log.info("request refused", extra=fields)
