--- a/src/fuchsiatrack/control/assigner.py
+++ b/src/fuchsiatrack/control/assigner.py
@@ -7,10 +7,8 @@
 import logging
 from collections.abc import Callable, Iterable, Sequence
 
-import aiohttp
-
 from fuchsiatrack.control.follower import Follower
-from fuchsiatrack.control.grantclient import Grant, HttpGrantClient, ServerUnreachable
+from fuchsiatrack.control.grantclient import Grant, GrantClient, ServerUnreachable
 from fuchsiatrack.control.granter import Granter
 from fuchsiatrack.control.leadership import CLAIM_TIMEOUT, Leadership
 from fuchsiatrack.control.placement import Plan, Planner, ServerView
@@ -84,7 +82,7 @@
         objects: Callable[[], ObjectSet],
         peers: PeerDirectory,
         leases: RouteLeases,
-        session: aiohttp.ClientSession,
+        connect: Callable[[BackendServer], GrantClient],
         clock: Clock,
         timings: TimingSettings,
     ) -> None:
@@ -95,7 +93,7 @@
         self._objects = objects
         self._peers = peers
         self._leases = leases
-        self._session = session
+        self._connect = connect
         self._clock = clock
         self._timings = timings
         self._planner = Planner(service)
@@ -150,9 +148,13 @@
     def _start_granter(self, server: BackendServer) -> None:
         if server.name in self._renewals:
             self._renewals[server.name].cancel()
-        client = HttpGrantClient(server, self._session, self._clock, self._timings.grant_timeout)
         granter = Granter(
-            server.name, client, self._leadership, self._grants, self._clock, self._timings
+            server.name,
+            self._connect(server),
+            self._leadership,
+            self._grants,
+            self._clock,
+            self._timings,
         )
         self._granters[server.name] = granter
         self._addresses[server.name] = server.address
--- a/src/fuchsiatrack/daemon/shard.py
+++ b/src/fuchsiatrack/daemon/shard.py
@@ -8,12 +8,14 @@
 
 from fuchsiatrack.control.assigner import Assigner
 from fuchsiatrack.control.follower import Applied
+from fuchsiatrack.control.grantclient import GrantClient, HttpGrantClient
 from fuchsiatrack.control.orders import OrderLedger, OrdersState
 from fuchsiatrack.control.records import Move
 from fuchsiatrack.control.routelease import RouteLease, RouteLeases
 from fuchsiatrack.control.snapshots import Snapshotter
 from fuchsiatrack.control.state import ShardState
 from fuchsiatrack.daemon.context import Context
+from fuchsiatrack.model.objects import BackendServer
 from fuchsiatrack.model.objectset import ObjectSet
 from fuchsiatrack.reports.levels import LevelBook
 from fuchsiatrack.routing.connections import ServerConnections
@@ -65,8 +67,8 @@
     def __init__(self, service: str, context: Context, objects: Callable[[], ObjectSet]) -> None:
         timings, clock = context.settings.timings, context.clock
         self.service = service
+        self._context = context
         self._objects = objects
-        self._clock = clock
         self.follower = context.follow(f"shard-{service}", ShardState)
         self.writer = context.write(self.follower)
         self.leadership = context.lead(service, self.follower, self.writer)
@@ -79,7 +81,7 @@
             objects,
             context.peers,
             self.leases,
-            context.session,
+            self._connect,
             clock,
             timings,
         )
@@ -123,6 +125,11 @@
         served = sum(1 for name in names if name in ownership and not ownership[name].revoked)
         return len(names), len(names) - served
 
+    def _connect(self, server: BackendServer) -> GrantClient:
+        context = self._context
+        timeout = context.settings.timings.grant_timeout
+        return HttpGrantClient(server, context.session, context.clock, timeout)
+
     def _settle_time(self) -> int:
         service = self._objects().services.get(self.service)
         return service.max_deadline if service else 0
