--- a/src/fuchsiatrack/kernel/settings.py
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -85,7 +85,6 @@
 
     max_header: Annotated[int, Field(ge=1_024, le=65_536)] = 16_384
     max_body: Annotated[int, Field(ge=1, le=1 << 34)] = 1 << 30
-    head_timeout: Milliseconds = 5_000
     body_idle_timeout: Milliseconds = 10_000
     max_daemons: Annotated[int, Field(ge=1, le=1_000)] = 10
 
--- a/src/fuchsiatrack/routing/body.py
+++ b/src/fuchsiatrack/routing/body.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.routing.refusal import Reason, Refusal
 
 HELD_BYTES = 64 * 1024
@@ -22,6 +23,7 @@
         self._idle = idle
         self._held: bytes | None = None
         self.started = False
+        self.failure: Refusal | None = None
 
     @property
     def can_resend(self) -> bool:
@@ -39,16 +41,20 @@
         if not self._request.can_read_body:
             self._held = b""
         elif length is not None and length <= HELD_BYTES:
-            parts = [part async for part in self._read()]
+            parts = [part async for part in self._read(Verdict.NOT_RUN)]
             self._held = b"".join(parts)
 
     def to_send(self) -> bytes | AsyncIterator[bytes] | None:
         """Return the body for one send."""
         if self._held is not None:
             return self._held or None
-        return self._read()
+        return self._read(Verdict.MAY_HAVE_RUN)
 
-    async def _read(self) -> AsyncIterator[bytes]:
+    async def _read(self, verdict: Verdict) -> AsyncIterator[bytes]:
+        """Yield the body; *verdict* is what a failure says of the request.
+
+        A failure is also kept in `failure`, since it may be raised inside of a send.
+        """
         self.started = True
         received = 0
         while True:
@@ -56,10 +62,14 @@
                 async with asyncio.timeout(self._idle / 1_000):
                     part = await self._request.content.read(CHUNK_BYTES)
             except TimeoutError:
-                raise Refusal(Reason.SLOW_CALLER) from None
+                raise self._fail(Reason.SLOW_CALLER, verdict) from None
             if not part:
                 return
             received += len(part)
             if received > self._limit:
-                raise Refusal(Reason.TOO_LARGE)
+                raise self._fail(Reason.TOO_LARGE, verdict)
             yield part
+
+    def _fail(self, reason: Reason, verdict: Verdict) -> Refusal:
+        self.failure = Refusal(reason, verdict)
+        return self.failure
--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -234,6 +234,8 @@
     async def _prepare_resend(self, outcome: Failed, target: Target) -> None:
         """Return when the request may be sent again; raise Refusal when it may not."""
         self._parts.metrics.count(f"sends.{outcome.reason.label}")
+        if self._body.failure:
+            raise self._body.failure
         refusal = Refusal(outcome.reason, outcome.verdict, retry_after=1_000)
         allowed = outcome.verdict.allows_resend or self._admitted.idempotent
         if not allowed or not self._body.can_resend:
