--- a/src/fuchsiatrack/control/assigner.py
+++ b/src/fuchsiatrack/control/assigner.py
@@ -275,6 +275,20 @@
             except ServerUnreachable as error:
                 log.debug("no revoke", extra={"server": server, "why": str(error)})
             return self._lapsed(granter, leaving, released)
+        return self._cleared(granter, found, leaving)
+
+    def _cleared(
+        self, granter: Granter, server: BackendServer, leaving: dict[str, int]
+    ) -> list[str]:
+        """Return the partitions for which nothing can reach or run on an unchecked server.
+
+        A request that was sent to a paused server runs when the server goes on, so it must have
+        answered for as long as a request can take, or be gone with its VM.
+        """
+        if self._peers.was_dropped(server.vm_name):
+            return list(leaving)
+        if not granter.is_steady(self._leases.settle_time):
+            return []
         return [name for name, fence in leaving.items() if self._leases.is_clear(name, fence)]
 
     def _lapsed(
--- a/src/fuchsiatrack/control/granter.py
+++ b/src/fuchsiatrack/control/granter.py
@@ -44,6 +44,7 @@
         self._holding: dict[str, int] = {}
         self._term = 0
         self._answered_at = -1
+        self._steady_since = -1
         self._wake = asyncio.Event()
         self.held: frozenset[str] = frozenset()
 
@@ -72,6 +73,13 @@
         """Tell whether the server has answered lately."""
         return self._clock.now() - self._answered_at < LOST_AFTER and self._answered_at >= 0
 
+    def is_steady(self, duration: int) -> bool:
+        """Tell whether the server has answered without a gap for *duration* milliseconds.
+
+        What was sent to a paused server before may still run when it goes on.
+        """
+        return self.is_usable() and self._clock.now() - self._steady_since >= duration
+
     def is_lost(self) -> bool:
         """Tell whether the server has been silent for so long that its keys should move."""
         since = max(self._answered_at, self._leadership.entitled_at)
@@ -126,6 +134,8 @@
         return self._clock.now() - reading.received_at > 2 * self._timings.grant_period
 
     def _take(self, reading: Reading) -> None:
+        if not self.is_usable():
+            self._steady_since = self._clock.now()
         self._reading = reading
         self._answered_at = self._clock.now()
 
--- a/src/fuchsiatrack/control/routelease.py
+++ b/src/fuchsiatrack/control/routelease.py
@@ -50,6 +50,11 @@
         self._term = 0
         self._holders: dict[str, RouteHolder] = {}
 
+    @property
+    def settle_time(self) -> int:
+        """The longest time for which a request that was sent can still be running."""
+        return self._settle()
+
     def renew(self, daemon: str, term: int, applied: int, unsettled: Iterable[str]) -> bool:
         """Let *daemon* route for one more lease; False when this daemon can't allow it."""
         if term != self._leadership.term or not self._leadership.may_act():
--- a/src/fuchsiatrack/kernel/settings.py
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -76,7 +76,7 @@
     log_wait: Milliseconds = 1_000
     shutdown_grace: Milliseconds = 300_000
     leave_notice: Milliseconds = 1_000
-    snapshot_period: Milliseconds = 60_000
+    snapshot_period: Milliseconds = 300_000
 
 
 @pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
--- a/src/fuchsiatrack/peers/directory.py
+++ b/src/fuchsiatrack/peers/directory.py
@@ -49,6 +49,7 @@
         self._poll = poll
         self._channels: dict[tuple[str, int], Channel] = {}
         self._seen: dict[str, Seen] = {}
+        self._listed: set[str] = set()
         self.vms = VMSnapshot()
         self.vms_read_at = -1
 
@@ -94,6 +95,10 @@
         found = self.vms.find(vm)
         return found is not None and found.state is VMState.LEAVING
 
+    def was_dropped(self, vm: str) -> bool:
+        """Tell whether the platform listed *vm* once and lists it no more."""
+        return vm in self._listed and self.vms.find(vm) is None
+
     @property
     def fleet_size(self) -> int:
         """Number of daemons on the VM list, at least one."""
@@ -109,6 +114,7 @@
         while True:
             try:
                 self.vms = await self._vm_list.read()
+                self._listed.update(vm.name for vm in self.vms.vms)
                 self.vms_read_at = self._clock.now()
             except PlatformUnavailable as error:
                 log.debug("VM list is unavailable", extra={"why": str(error)})
--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -49,7 +49,7 @@
         """Count a send."""
 
     @abc.abstractmethod
-    def end(self, target: Target, latency: int, failed: bool) -> None:
+    def end(self, target: Target, latency: int, verdict: Verdict) -> None:
         """Count the end of a send; *latency* in milliseconds."""
 
     def watch(self, target: Target, scope: asyncio.Timeout) -> None:
@@ -75,8 +75,8 @@
     def begin(self, target: Target) -> None:
         self._locator.begin(target)
 
-    def end(self, target: Target, latency: int, failed: bool) -> None:
-        self._locator.end(target)
+    def end(self, target: Target, latency: int, verdict: Verdict) -> None:
+        self._locator.end(target, verdict is Verdict.MAY_HAVE_RUN)
 
     def watch(self, target: Target, scope: asyncio.Timeout) -> None:
         self._locator.watch(target, scope)
@@ -100,8 +100,8 @@
     def begin(self, target: Target) -> None:
         self._pool.begin(target)
 
-    def end(self, target: Target, latency: int, failed: bool) -> None:
-        self._pool.end(target, latency, failed)
+    def end(self, target: Target, latency: int, verdict: Verdict) -> None:
+        self._pool.end(target, latency, verdict is not Verdict.RAN)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -204,21 +204,24 @@
         sending = self._sending(target, scopes)
         if sending.deadline_ms <= 0:
             return Failed(Verdict.NOT_RUN, Reason.DEADLINE)
-        started, failed = self._clock.now(), True
+        started, verdict = self._clock.now(), Verdict.MAY_HAVE_RUN
         self._sends += 1
         self._parts.chooser.begin(target)
         try:
             outcome = await self._parts.connections.send(target, sending)
             if isinstance(outcome, Answered):
                 outcome = await self._relay(outcome)
-            failed = isinstance(outcome, Failed)
-            if failed and scopes and self._parts.chooser.is_superseded(target):
-                return Failed(outcome.verdict, Reason.MOVED)
+            verdict = outcome.verdict if isinstance(outcome, Failed) else Verdict.RAN
+            if verdict is not Verdict.RAN and scopes and self._is_superseded(target):
+                return Failed(verdict, Reason.MOVED)
             return outcome
         finally:
             for scope in scopes:
                 self._parts.chooser.unwatch(target, scope)
-            self._parts.chooser.end(target, self._clock.now() - started, failed)
+            self._parts.chooser.end(target, self._clock.now() - started, verdict)
+
+    def _is_superseded(self, target: Target) -> bool:
+        return self._parts.chooser.is_superseded(target)
 
     async def _relay(self, answered: Answered) -> web.StreamResponse | Failed:
         try:
--- a/src/fuchsiatrack/routing/locator.py
+++ b/src/fuchsiatrack/routing/locator.py
@@ -36,6 +36,7 @@
         self._lease = lease
         self._clock = clock
         self._running: collections.Counter[tuple[str, int]] = collections.Counter()
+        self._doubts: dict[tuple[str, int], int] = {}
         self._sent: collections.Counter[str] = collections.Counter()
         self._sent_since = clock.now()
         self._scopes: dict[str, dict[asyncio.Timeout, int]] = {}
@@ -60,9 +61,14 @@
         self._running[(target.partition, target.fence)] += 1
         self._sent[target.partition] += 1
 
-    def end(self, target: Target) -> None:
-        """Count the end of a request that `begin` counted."""
+    def end(self, target: Target, unsure: bool) -> None:
+        """Count the end of a request that `begin` counted.
+
+        One that ended *unsure* at a server that does not check grants may still be running there.
+        """
         counted = (target.partition, target.fence)
+        if unsure and not target.checks_grants:
+            self._doubts[counted] = self._clock.now() + self._settle_time()
         self._running[counted] -= 1
         if not self._running[counted]:
             del self._running[counted]
@@ -83,6 +89,10 @@
         owner = self._owner(target.partition)
         return owner is not None and owner.fence != target.fence
 
+    def _settle_time(self) -> int:
+        service = self._objects().services.get(self._service)
+        return service.max_deadline if service else 0
+
     def _end_superseded(self, applied: Applied) -> None:
         if not isinstance(applied.record, Assign):
             return
@@ -94,7 +104,9 @@
 
     def unsettled(self) -> Iterator[str]:
         """Yield partitions with requests in flight to an owner that is leaving or has left."""
-        for partition, fence in self._running:
+        now = self._clock.now()
+        self._doubts = {counted: end for counted, end in self._doubts.items() if end > now}
+        for partition, fence in {*self._running, *self._doubts}:
             owner = self._owner(partition)
             if owner is None or owner.fence != fence or owner.revoked:
                 yield partition
