--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SETUP := $(VENV)/.installed
 
-.PHONY: setup demo playground test lint matrix bench slopes
+.PHONY: setup demo playground test lint matrix bench slopes outages
 
 setup: $(SETUP)
 
@@ -36,3 +36,6 @@
 
 slopes: setup
 	$(BIN)/python -m fuchsiatrack_standins.slopes
+
+outages: setup
+	$(BIN)/python tests/outages.py
--- /dev/null
+++ b/tests/outages.py
@@ -0,0 +1,125 @@
+"""Measures unavailable time of ways to keep a leader acting, on virtual time and the same seeds.
+
+Ways: support of voters (the product's); a lease renewed through the log, which lapses with it; and
+long grant leases, which stand for holding on in an outage.  Run by `make outages`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+from collections.abc import Callable
+
+from fakes import FakeVoterCalls, Fleet, run_virtual
+from tabulate import tabulate
+from test_ownership import partitions, small_objects
+
+from fuchsiatrack.kernel.settings import TimingSettings
+
+SEEDS = range(5)
+OUTAGE_S, AFTER_S = 30.0, 10.0
+LONG_LEASE_MS = 20_000
+
+
+class LogLeaseCalls(FakeVoterCalls):
+    """Support that only the log gives: none while it is down, none for a cut-off leader."""
+
+    async def support(self, voter, shard, term):
+        if self._fleet.log.down or self._fleet.network.is_cut(self._me.vm, "log"):
+            return None
+        node = self._fleet.nodes.get(voter.incarnation)
+        return node.voter.support(shard, term) if node else None
+
+
+def _use_log_lease(fleet: Fleet) -> None:
+    for node in fleet.nodes.values():
+        node.leadership._calls = LogLeaseCalls(fleet, node.daemon)
+
+
+def _use_long_lease(fleet: Fleet) -> None:
+    timings = TimingSettings(grant_lease=LONG_LEASE_MS)
+    for node in fleet.nodes.values():
+        node.assigner._timings = node.leadership._timings = timings
+
+
+WAYS: dict[str, Callable[[Fleet], None]] = {
+    "support of voters": lambda fleet: None,
+    "lease by the log": _use_log_lease,
+    "support, grants of 20 s": _use_long_lease,
+}
+
+
+def _log_down(fleet: Fleet) -> None:
+    fleet.log.down = True
+
+
+def _log_down_server_lost(fleet: Fleet) -> None:
+    fleet.log.down = True
+    fleet.servers["poles-1"].alive = False
+
+
+def _log_down_leader_lost(fleet: Fleet) -> None:
+    fleet.log.down = True
+    fleet.leader.kill()
+
+
+def _leader_cut_with_half(fleet: Fleet) -> None:
+    half = {fleet.leader.daemon.vm, *list(fleet.servers)[:1]}
+    others = [end for end in (*fleet.listed, *fleet.servers, "log") if end not in half]
+    for end in half:
+        fleet.network.cut(end, others)
+
+
+def _server_lost(fleet: Fleet) -> None:
+    fleet.servers["poles-1"].alive = False
+
+
+CASES = {
+    "log down": _log_down,
+    "log down, a server lost": _log_down_server_lost,
+    "log down, the leader lost": _log_down_leader_lost,
+    "leader cut off with a third of the servers": _leader_cut_with_half,
+    "a server lost, log up": _server_lost,
+}
+
+
+def _share_unowned(way: str, case: str, seed: int) -> tuple[float, int]:
+    """Return the share of partition time without owner, and the overlaps seen."""
+
+    async def run():
+        fleet = Fleet(small_objects(), 5, seed)
+        WAYS[way](fleet)
+        await fleet.settle()
+        await asyncio.sleep(6)
+        CASES[case](fleet)
+        missing = samples = 0
+        names = partitions(fleet)
+        loop = asyncio.get_running_loop()
+        end, healed = loop.time() + OUTAGE_S + AFTER_S, loop.time() + OUTAGE_S
+        while loop.time() < end:
+            if loop.time() >= healed:
+                fleet.log.down = False
+                fleet.network.heal()
+            missing += len(names - fleet.owned())
+            samples += len(names)
+            await asyncio.sleep(0.02)
+        fleet.close()
+        return missing / samples, len(fleet.overlaps)
+
+    return run_virtual(run())
+
+
+def main() -> None:
+    """Print the table."""
+    rows = []
+    for case in CASES:
+        for way in WAYS:
+            runs = [_share_unowned(way, case, seed) for seed in SEEDS]
+            unowned = statistics.mean(run[0] for run in runs) * (OUTAGE_S + AFTER_S)
+            rows.append((case, way, unowned, sum(run[1] for run in runs)))
+    headers = ("case (30 s, then 10 s healed)", "way", "s without owner, mean key", "overlaps")
+    print(tabulate(rows, headers=headers, floatfmt=".2f"))
+
+
+if __name__ == "__main__":
+    main()
