Hold: longer grants while the log is down, told to the voters before they are given

Change: after 3 s of silence of the log a leader announces grants of 20 s with its renewals of support, and gives them once a majority of the voters knows; the next leader learns of it from its own majority and waits that long for owners that it can't reach. Voters are replaced only after a majority of the new ones has been told.

--- a/src/fuchsiatrack/control/granter.py
+++ b/src/fuchsiatrack/control/granter.py
@@ -90,7 +90,7 @@
 
         A grant of an earlier leader lasts at most one lease longer than that leader could act.
         """
-        earlier = self._leadership.entitled_at + longest(self._timings.grant_lease)
+        earlier = self._leadership.inherited_until
         if self._term != self._leadership.term:
             return earlier
         return max(earlier, self._holding.get(partition, 0))
@@ -103,9 +103,10 @@
         reading = self._reading
         if not self._leadership.may_act():
             raise ServerUnreachable("not entitled to act")
+        lease = self._timings.grant_lease
         if reading:
-            self._note_holding(fences, reading)
-        answer = await self._client.revoke(fences, reading, self._timings.grant_lease)
+            self._note_holding(fences, reading, lease)
+        answer = await self._client.revoke(fences, reading, lease)
         self._take(answer.reading)
         return answer.partitions
 
@@ -123,10 +124,11 @@
         assert reading is not None
         # The reading was taken before this check, so the grant ends at most one lease after
         # the leadership does, however long this process is paused in between.
+        lease = self._leadership.choose_grant_lease()
         if not self._leadership.may_act():
             return
-        self._note_holding((grant.partition for grant in grants), reading)
-        answer = await self._client.grant(grants, reading, self._timings.grant_lease)
+        self._note_holding((grant.partition for grant in grants), reading, lease)
+        answer = await self._client.grant(grants, reading, lease)
         self._take(answer.reading)
         self.held = answer.partitions
 
@@ -139,9 +141,10 @@
         self._reading = reading
         self._answered_at = self._clock.now()
 
-    def _note_holding(self, partitions: Iterable[str], reading: Reading) -> None:
+    def _note_holding(self, partitions: Iterable[str], reading: Reading, lease: int) -> None:
         if self._term != self._leadership.term:
             self._holding.clear()
             self._term = self._leadership.term
-        until = reading.received_at + longest(self._timings.grant_lease)
-        self._holding.update(dict.fromkeys(partitions, until))
+        until = reading.received_at + longest(lease)
+        for partition in partitions:
+            self._holding[partition] = max(until, self._holding.get(partition, 0))
--- a/src/fuchsiatrack/control/leadership.py
+++ b/src/fuchsiatrack/control/leadership.py
@@ -29,6 +29,8 @@
 # Step between the moments at which two daemons claim a term that nobody holds.
 CLAIM_STEP = 60
 CLAIM_TIMEOUT = 3_000
+# The log counts as down when it has not answered for this long.
+LOG_SILENCE = 3_000
 # A voter that has not supported the leader for this long is replaced.
 VOTER_PATIENCE = 5_000
 
@@ -39,8 +41,11 @@
     """How a leader or challenger reaches voters."""
 
     @abc.abstractmethod
-    async def support(self, voter: Daemon, shard: str, term: int) -> Support | None:
-        """Ask *voter* to support *term*; None when it does not answer as that incarnation."""
+    async def support(self, voter: Daemon, shard: str, term: int, hold: int) -> Support | None:
+        """Ask *voter* to support *term*; None when it does not answer as that incarnation.
+
+        *hold* announces how long grants may last, in milliseconds; 0 announces nothing.
+        """
 
     @abc.abstractmethod
     async def probe(self, voter: Daemon, shard: str, term: int) -> bool | None:
@@ -56,10 +61,10 @@
         self._peers = peers
         self._timeout = timeout
 
-    async def support(self, voter: Daemon, shard: str, term: int) -> Support | None:
+    async def support(self, voter: Daemon, shard: str, term: int, hold: int) -> Support | None:
         if voter == self._me:
-            return self._own.support(shard, term)
-        request = SupportRequest(shard=shard, term=term, voter=voter.incarnation)
+            return self._own.support(shard, term, hold)
+        request = SupportRequest(shard=shard, term=term, voter=voter.incarnation, hold_ms=hold)
         try:
             async with asyncio.timeout(self._timeout / 1000):
                 reply = await self._peers.stub(voter).Support(request)
@@ -67,7 +72,7 @@
             return None
         if reply.incarnation != voter.incarnation:
             return None
-        return Support(reply.granted, reply.highest_term, reply.wait_ms)
+        return Support(reply.granted, reply.highest_term, reply.wait_ms, reply.hold_ms)
 
     async def probe(self, voter: Daemon, shard: str, term: int) -> bool | None:
         if voter == self._me:
@@ -116,8 +121,12 @@
         self._known_voters: tuple[Daemon, ...] = ()
         self._voters_known_at = clock.now()
         self._proposed: tuple[Daemon, ...] = ()
+        self._proposal_sent = False
         self._supported_at: dict[Daemon, int] = {}
         self._resigned_term = 0
+        self._inherited_hold = 0
+        self._hold_granted_until = -1
+        self._may_hold = False
         self._stopping = False
         follower.applied.subscribe(lambda applied: voter.learn(shard, self._state.term))
 
@@ -150,6 +159,31 @@
         now = self._clock.now()
         return self._entitled_at is not None and self._entitled_at <= now < self._lease_until
 
+    def choose_grant_lease(self) -> int:
+        """Return how long a grant that is given now may last, in milliseconds.
+
+        While the log is down nothing can be assigned anew, so a longer lease costs nothing and
+        keeps owners in place if the leader is lost too.  A majority of the voters has been told.
+        """
+        if self._may_hold and self._is_log_silent():
+            self._hold_granted_until = self._clock.now() + longest(self._timings.hold_lease)
+            return self._timings.hold_lease
+        return self._timings.grant_lease
+
+    @property
+    def inherited_until(self) -> int:
+        """The moment from which no grant of an earlier leader is in force any more."""
+        lease = max(longest(self._timings.grant_lease), self._inherited_hold)
+        return self.entitled_at + lease
+
+    def _is_log_silent(self) -> bool:
+        return self._clock.now() - self._follower.read_at >= LOG_SILENCE
+
+    def _hold_to_announce(self) -> int:
+        """Return the hold that voters must know of: one wanted, or one that may be in force."""
+        wanted = self._timings.hold_lease if self._is_log_silent() else 0
+        return max(wanted, self._hold_granted_until - self._clock.now(), 0)
+
     async def run(self) -> None:
         """Keep or seek the term until cancelled."""
         await self._follower.caught_up.wait()
@@ -265,16 +299,19 @@
     async def _take_over(self) -> None:
         """Become entitled: no earlier leader can act any more."""
         term, voters = self.term, self._state.voters
-        answers = await self._ask(voters, term)
+        answers = await self._ask(voters, term, 0)
         granted = [answer for answer in answers.values() if answer.granted]
         alive = sum(1 for voter in voters if voter in answers or not self._gone(voter))
         if len(granted) < max(0, alive - len(voters) // 2) or self.term != term:
             return
         wait = self._wait_after(granted, voters)
+        self._inherited_hold = self._hold_after(granted, voters)
+        self._hold_granted_until = self._clock.now() + self._inherited_hold
+        self._may_hold = False
         self._entitled_at = self._clock.now() + wait
         self._entitled_term = term
         self._lease_until = -1
-        self._proposed = ()
+        self._proposed, self._proposal_sent = (), False
         self._supported_at = {}
         log.info("leading", extra={"shard": self._shard, "term": term, "wait_ms": wait})
         await self._maintain_voters()
@@ -288,25 +325,37 @@
             return longest(self._timings.support_lease)
         return max((longest(answer.wait) for answer in granted), default=0)
 
+    def _hold_after(self, granted: list[Support], voters: tuple[Daemon, ...]) -> int:
+        """Return how long grants of earlier leaders may last beyond the usual lease."""
+        if len(granted) < majority(voters) and not self._state.term_is_first:
+            return longest(self._timings.hold_lease)
+        return max((longest(answer.hold) for answer in granted), default=0)
+
     # Keeping the term
 
-    async def _renew(self) -> None:
-        """Extend the time for which this daemon may act, counted from before it asks."""
+    async def _renew(self) -> set[Daemon]:
+        """Extend the time for which this daemon may act, counted from before it asks.
+
+        Return the voters that support it and know of its hold.
+        """
         asked_at, term = self._clock.now(), self.term
         sets = [voters for voters in (self._state.voters, self._proposed) if voters]
-        answers = await self._ask(set().union(*sets), term)
+        hold = self._hold_to_announce()
+        answers = await self._ask(set().union(*sets), term, hold)
         granted = {voter for voter, answer in answers.items() if answer.granted}
         self._supported_at.update(dict.fromkeys(granted, asked_at))
         current = sets == [v for v in (self._state.voters, self._proposed) if v]
         if not current or self.term != term:
-            return
+            return set()
         if all(len(granted.intersection(voters)) >= majority(voters) for voters in sets):
             self._lease_until = asked_at + shortest(self._timings.support_lease)
+            self._may_hold = hold >= self._timings.hold_lease
+        return granted
 
-    async def _ask(self, voters: Iterable[Daemon], term: int) -> dict[Daemon, Support]:
+    async def _ask(self, voters: Iterable[Daemon], term: int, hold: int) -> dict[Daemon, Support]:
         asked = tuple(voters)
         answers = await asyncio.gather(
-            *(self._calls.support(voter, self._shard, term) for voter in asked)
+            *(self._calls.support(voter, self._shard, term, hold) for voter in asked)
         )
         return {voter: answer for voter, answer in zip(asked, answers, strict=True) if answer}
 
@@ -316,16 +365,21 @@
         """Replace voters that are gone or silent, and add some while there are too few.
 
         From before the record is sent until it has been read back, the leader needs a majority
-        of the old voters and of the new ones, since the record may take effect at any time.
+        of the old voters and of the new ones, since the record may take effect at any time.  The
+        new ones are told of a hold that may be in force before they can replace those who know.
         """
         voters = self._state.voters
         wanted = self._proposed or self._choose_voters(tuple(v for v in voters if self._is_kept(v)))
         if set(wanted) == set(voters) or not wanted:
-            self._proposed = ()
+            self._proposed, self._proposal_sent = (), False
             return
         self._proposed = wanted
         self._lease_until = min(self._lease_until, self._clock.now())
-        await self._renew()
+        told = await self._renew()
+        if len(told.intersection(wanted)) < majority(wanted):
+            self._proposed = wanted if self._proposal_sent else ()
+            return
+        self._proposal_sent = True
         term, version = self.term, self._peers.vms.version
 
         def build(identity: RecordId) -> Voters:
@@ -339,7 +393,7 @@
             await task
         except PlatformUnavailable:
             return
-        self._proposed = ()
+        self._proposed, self._proposal_sent = (), False
         self._note_voters()
         await self._renew()
 
--- a/src/fuchsiatrack/control/state.py
+++ b/src/fuchsiatrack/control/state.py
@@ -108,6 +108,7 @@
     leader: Daemon | None = None
     resigned: bool = False
     after_resignation: bool = False
+    is_first_term: bool = False
     voters: tuple[Daemon, ...] = ()
     vm_version: int = 0
     ownership: dict[str, Ownership] = dataclasses.field(default_factory=dict)
@@ -150,6 +151,11 @@
         """Whether the leader before the current one had given up its term."""
         return self._data.after_resignation
 
+    @property
+    def term_is_first(self) -> bool:
+        """Whether no leader came before the current one."""
+        return self._data.is_first_term
+
     @property
     def voters(self) -> tuple[Daemon, ...]:
         """The daemons whose support lets a leader act."""
@@ -215,6 +221,7 @@
         if record.supersedes != self.term:
             return False
         self._data.after_resignation = self._data.resigned
+        self._data.is_first_term = record.supersedes == 0
         self._data.term = offset
         self._data.leader = record.daemon
         self._data.resigned = False
--- a/src/fuchsiatrack/control/voter.py
+++ b/src/fuchsiatrack/control/voter.py
@@ -11,12 +11,14 @@
 class Support:
     """Answer to a request for support.
 
-    `wait` is how long support of an earlier term may still be counted on, in milliseconds.
+    `wait` is how long support of an earlier term may still be counted on, and `hold` how long
+    grants may still last that leaders have announced, in milliseconds.
     """
 
     granted: bool
     highest_term: int
     wait: int = 0
+    hold: int = 0
 
 
 class Voter:
@@ -32,9 +34,14 @@
         self._terms: dict[str, int] = {}
         self._until: dict[str, int] = {}
         self._earlier_until: dict[str, int] = {}
+        self._hold_until: dict[str, int] = {}
 
-    def support(self, shard: str, term: int) -> Support:
-        """Support *term* unless a higher one is known."""
+    def support(self, shard: str, term: int, hold: int = 0) -> Support:
+        """Support *term* unless a higher one is known.
+
+        With *hold*, the leader announces grants that last so many milliseconds from any moment
+        at which this support lets it act.
+        """
         now = self._clock.now()
         highest = self._terms.get(shard, 0)
         if term < highest:
@@ -43,7 +50,11 @@
             self._earlier_until[shard] = self._until.get(shard, now)
             self._terms[shard] = term
         self._until[shard] = now + longest(self._lease)
-        return Support(True, term, max(0, self._earlier_until.get(shard, now) - now))
+        held = max(0, self._hold_until.get(shard, now) - now)
+        if hold:
+            until = now + longest(self._lease) + longest(hold)
+            self._hold_until[shard] = max(until, self._hold_until.get(shard, 0))
+        return Support(True, term, max(0, self._earlier_until.get(shard, now) - now), held)
 
     def learn(self, shard: str, term: int) -> None:
         """Stop supporting terms of *shard* below *term*."""
--- a/src/fuchsiatrack/daemon/peerservice.py
+++ b/src/fuchsiatrack/daemon/peerservice.py
@@ -43,10 +43,11 @@
         request: SupportRequest = await stream.recv_message()
         reply = SupportReply(incarnation=self._me.incarnation)
         if request.voter == self._me.incarnation:
-            support = self._voter.support(request.shard, request.term)
+            support = self._voter.support(request.shard, request.term, request.hold_ms)
             reply.granted = support.granted
             reply.highest_term = support.highest_term
             reply.wait_ms = support.wait
+            reply.hold_ms = support.hold
         await stream.send_message(reply)
 
     async def Probe(self, stream: Stream) -> None:  # noqa: N802
--- a/src/fuchsiatrack/kernel/settings.py
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -70,6 +70,7 @@
     support_period: Milliseconds = 250
     grant_lease: Milliseconds = 2_000
     grant_period: Milliseconds = 400
+    hold_lease: Milliseconds = 20_000
     grant_timeout: Milliseconds = 500
     vm_poll: Milliseconds = 500
     log_timeout: Milliseconds = 2_000
--- a/src/fuchsiatrack_standins/platform.py
+++ b/src/fuchsiatrack_standins/platform.py
@@ -223,14 +223,13 @@
         return web.json_response(dataclasses.asdict(self.faults))
 
     async def _expire(self, request: web.Request) -> web.Response:
-        """Drop all records of a stream before its latest one of a kind."""
+        """Drop all records of a stream that its latest snapshot covers."""
         body = await request.json()
         stream = self._streams[body["stream"]]
-        found = [
-            item.offset for item in stream.records if _describe(item.data)[0] == body["before_kind"]
-        ]
-        if found:
-            stream.records = [item for item in stream.records if item.offset >= found[-1]]
+        found = [json.loads(item.data) for item in stream.records]
+        covered = [item["as_of"] for item in found if item["kind"] == "snapshot"]
+        if covered:
+            stream.records = [item for item in stream.records if item.offset > covered[-1]]
         return web.json_response({"first": stream.first})
 
     async def _stats(self, request: web.Request) -> web.Response:
--- a/src/fuchsiatrack_standins/scenarios/runner.py
+++ b/src/fuchsiatrack_standins/scenarios/runner.py
@@ -251,10 +251,10 @@
         await self._fault_for(event, {"vm_list_down": True}, {"vm_list_down": False})
 
     async def _do_records_expire(self, event: Event) -> None:
-        """Expire what lies before the latest snapshot of each control stream."""
+        """Expire what the latest snapshot of each control stream covers."""
         for stream in ("config", "shard-poles"):
             url = f"{self.deployment.network.platform_url}/control/expire"
-            await self._post(url, {"stream": stream, "before_kind": "snapshot"})
+            await self._post(url, {"stream": stream})
 
     # Faults of processes
 
--- a/src/fuchsiatrack_standins/scenarios/sets.py
+++ b/src/fuchsiatrack_standins/scenarios/sets.py
@@ -30,15 +30,12 @@
     return checked.objects
 
 
-def with_hot_key(objects: ObjectSet, key: str, server: str) -> ObjectSet:
-    """Return *objects* with *key* placed on *server* by itself."""
+def with_hot_key(objects: ObjectSet, key: str, server: str, *more: str) -> ObjectSet:
+    """Return *objects* with *key* placed on *server*, and each of *more* keys, by itself."""
+    hot_keys = (HotKey(key, server), *(HotKey(other) for other in more))
     return ObjectSet(
         tuple(
-            (
-                dataclasses.replace(item, hot_keys=(HotKey(key, server),))
-                if isinstance(item, Placement)
-                else item
-            )
+            dataclasses.replace(item, hot_keys=hot_keys) if isinstance(item, Placement) else item
             for item in objects.objects
         )
     )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -225,9 +225,9 @@
         self._fleet = fleet
         self._me = me
 
-    async def support(self, voter, shard, term):
+    async def support(self, voter, shard, term, hold):
         node = await self._reach(voter)
-        answer = node.voter.support(shard, term) if node else None
+        answer = node.voter.support(shard, term, hold) if node else None
         await self._return()
         return answer
 
--- a/tests/outages.py
+++ b/tests/outages.py
@@ -1,7 +1,8 @@
 """Measures unavailable time of ways to keep a leader acting, on virtual time and the same seeds.
 
-Ways: support of voters (the product's); a lease renewed through the log, which lapses with it; and
-long grant leases, which stand for holding on in an outage.  Run by `make outages`.
+Ways: support of voters with longer grants while the log is down (the product's); support alone; a
+lease renewed through the log, which lapses with it; grants that are always long.  Run by
+`make outages`.
 """
 
 from __future__ import annotations
@@ -17,18 +18,20 @@
 from fuchsiatrack.kernel.settings import TimingSettings
 
 SEEDS = range(5)
-OUTAGE_S, AFTER_S = 30.0, 10.0
+# Time for which the log has been down before something else is lost.
+LEAD_S = 6.0
+OUTAGE_S, AFTER_S = 30.0, 20.0
 LONG_LEASE_MS = 20_000
 
 
 class LogLeaseCalls(FakeVoterCalls):
     """Support that only the log gives: none while it is down, none for a cut-off leader."""
 
-    async def support(self, voter, shard, term):
+    async def support(self, voter, shard, term, hold):
         if self._fleet.log.down or self._fleet.network.is_cut(self._me.vm, "log"):
             return None
         node = self._fleet.nodes.get(voter.incarnation)
-        return node.voter.support(shard, term) if node else None
+        return node.voter.support(shard, term, hold) if node else None
 
 
 def _use_log_lease(fleet: Fleet) -> None:
@@ -36,14 +39,27 @@
         node.leadership._calls = LogLeaseCalls(fleet, node.daemon)
 
 
+def _use_long_hold(fleet: Fleet) -> None:
+    _use_timings(fleet, TimingSettings(hold_lease=60_000))
+
+
+def _use_no_hold(fleet: Fleet) -> None:
+    _use_timings(fleet, TimingSettings(hold_lease=TimingSettings().grant_lease))
+
+
 def _use_long_lease(fleet: Fleet) -> None:
-    timings = TimingSettings(grant_lease=LONG_LEASE_MS)
+    _use_timings(fleet, TimingSettings(grant_lease=LONG_LEASE_MS, hold_lease=LONG_LEASE_MS))
+
+
+def _use_timings(fleet: Fleet, timings: TimingSettings) -> None:
     for node in fleet.nodes.values():
         node.assigner._timings = node.leadership._timings = timings
 
 
 WAYS: dict[str, Callable[[Fleet], None]] = {
-    "support of voters": lambda fleet: None,
+    "support and hold": lambda fleet: None,
+    "support and hold of 60 s": _use_long_hold,
+    "support of voters": _use_no_hold,
     "lease by the log": _use_log_lease,
     "support, grants of 20 s": _use_long_lease,
 }
@@ -53,14 +69,13 @@
     fleet.log.down = True
 
 
-def _log_down_server_lost(fleet: Fleet) -> None:
-    fleet.log.down = True
+def _server_lost(fleet: Fleet) -> None:
     fleet.servers["poles-1"].alive = False
 
 
-def _log_down_leader_lost(fleet: Fleet) -> None:
-    fleet.log.down = True
-    fleet.leader.kill()
+def _leader_lost(fleet: Fleet) -> None:
+    if fleet.leader:
+        fleet.leader.kill()
 
 
 def _leader_cut_with_half(fleet: Fleet) -> None:
@@ -70,16 +85,13 @@
         fleet.network.cut(end, others)
 
 
-def _server_lost(fleet: Fleet) -> None:
-    fleet.servers["poles-1"].alive = False
-
-
+# What happens first, and what `LEAD_S` later.
 CASES = {
-    "log down": _log_down,
-    "log down, a server lost": _log_down_server_lost,
-    "log down, the leader lost": _log_down_leader_lost,
-    "leader cut off with a third of the servers": _leader_cut_with_half,
-    "a server lost, log up": _server_lost,
+    "log down": (_log_down, None),
+    "log down, then a server lost": (_log_down, _server_lost),
+    "log down, then the leader lost": (_log_down, _leader_lost),
+    "leader cut off with a third of the servers": (_leader_cut_with_half, None),
+    "a server lost, log up": (_server_lost, None),
 }
 
 
@@ -91,12 +103,17 @@
         WAYS[way](fleet)
         await fleet.settle()
         await asyncio.sleep(6)
-        CASES[case](fleet)
+        first, later = CASES[case]
+        first(fleet)
         missing = samples = 0
         names = partitions(fleet)
         loop = asyncio.get_running_loop()
-        end, healed = loop.time() + OUTAGE_S + AFTER_S, loop.time() + OUTAGE_S
+        start = loop.time()
+        end, healed = start + OUTAGE_S + AFTER_S, start + OUTAGE_S
         while loop.time() < end:
+            if later and loop.time() >= start + LEAD_S:
+                later(fleet)
+                later = None
             if loop.time() >= healed:
                 fleet.log.down = False
                 fleet.network.heal()
@@ -117,7 +134,7 @@
             runs = [_share_unowned(way, case, seed) for seed in SEEDS]
             unowned = statistics.mean(run[0] for run in runs) * (OUTAGE_S + AFTER_S)
             rows.append((case, way, unowned, sum(run[1] for run in runs)))
-    headers = ("case (30 s, then 10 s healed)", "way", "s without owner, mean key", "overlaps")
+    headers = ("case (30 s, then 20 s healed)", "way", "s without owner, mean key", "overlaps")
     print(tabulate(rows, headers=headers, floatfmt=".2f"))
 
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -177,6 +177,17 @@
 
         scenario(steps)
 
+    def test_resigned_leader_acts_no_more_even_when_the_record_is_late(self):
+        async def steps(fleet):
+            leader = fleet.leader
+            fleet.log.down = True
+            await leader.leadership._hand_over()
+            await leader.leadership._renew()
+            assert leader.leadership.holds_term
+            assert not leader.leadership.may_act()
+
+        scenario(steps)
+
     def test_all_daemons_replaced_one_by_one(self):
         async def steps(fleet):
             for number, node in enumerate(list(fleet.listed.values())):
@@ -278,6 +289,62 @@
     return any(o.server != server for p, o in _ownership(fleet).items() if p in names)
 
 
+class TestHold:
+    """Longer grants while the log is down, told to the voters before they are given."""
+
+    def test_leader_lost_in_an_outage_leaves_owners_in_place(self):
+        async def steps(fleet):
+            fleet.log.down = True
+            await asyncio.sleep(6)
+            fleet.leader.kill()
+            assert await unowned_time(fleet, 10) < 0.1
+            fleet.log.down = False
+            assert await unowned_time(fleet, 20) < SERVED_AGAIN_S
+
+        assert scenario(steps).overlaps == []
+
+    def test_next_leader_waits_for_a_hold_that_it_was_told_of(self):
+        async def steps(fleet):
+            fleet.log.down = True
+            await asyncio.sleep(6)
+            fleet.network.cut("poles-1", list(fleet.listed))
+            fleet.leader.kill()
+            fleet.log.down = False
+            await fleet.wait_until(lambda: fleet.leader is not None)
+            # The cut-off server owns its partitions until the hold ends; nobody else may.
+            assert await unowned_time(fleet, 12) < 0.1
+            await fleet.wait_until(lambda: "poles-1" not in _owners(fleet), 30)
+
+        assert scenario(steps).overlaps == []
+
+    def test_majority_of_the_voters_is_told_before_a_longer_grant(self):
+        async def steps(fleet):
+            leader = fleet.leader.leadership
+            assert leader.choose_grant_lease() == fleet.timings.grant_lease
+            fleet.log.down = True
+            await fleet.wait_until(lambda: leader.choose_grant_lease() > fleet.timings.grant_lease)
+            voters = [n for n in fleet.nodes.values() if n.daemon in leader._state.voters]
+            told = [n.voter.support("shard", leader.term).hold for n in voters]
+            assert sum(left >= fleet.timings.hold_lease for left in told) >= len(voters) // 2 + 1
+
+        scenario(steps)
+
+    def test_new_voters_are_told_before_they_are_recorded(self):
+        async def steps(fleet):
+            leader, head = fleet.leader.leadership, fleet.log.head("shard")
+            leader._proposed = tuple(
+                Daemon(f"lost-{n}", f"lost-{n}.0", "x", "lost", 1) for n in range(3)
+            )
+            await leader._maintain_voters()
+            assert fleet.log.head("shard") == head
+
+        scenario(steps)
+
+
+def _owners(fleet):
+    return {owner.server for owner in _ownership(fleet).values()}
+
+
 class TestRandomFaults:
     @pytest.mark.parametrize("seed", range(30))
     def test_never_two_owners(self, seed):
@@ -288,7 +355,7 @@
             fleet.late_calls = rng.choice((0, 0.05))
             for _ in range(14):
                 undo = _fault(fleet, rng)
-                await asyncio.sleep(rng.uniform(0.2, 3))
+                await asyncio.sleep(rng.choice((rng.uniform(0.2, 3), rng.uniform(3, 9))))
                 undo()
                 await asyncio.sleep(rng.uniform(0, 1.5))
             fleet.log.lose_answers = fleet.log.late = fleet.late_calls = 0
