Cut the cost of control: renewals by digest, plans only on change, fewer questions

Traced to: every renewal repeated every partition and fence; every daemon ran the renewal loops of servers it does not lead; daemons that are no voters asked all voters four times a second; leave to route was renewed where no server needs it; the leader planned five times a second whatever had changed; unavailable partitions were counted anew five times a second. Ruled out: the log's long polls (constant in all sizes). Change: a renewal carries a digest of the set, and the set only when the server asks; the loops rest without the term; non-voters ask every 2 s; plans and counts only when something changed.

Also: of two equally good servers the pool always took the first; ties now fall at random (found by a new unit test).

--- a/src/fuchsiatrack/control/assigner.py
+++ b/src/fuchsiatrack/control/assigner.py
@@ -25,6 +25,8 @@
 
 PLAN_PERIOD = 200
 REVOKE_PERIOD = 50
+# Pause between plans while only the load has changed.
+REPLAN_PERIOD = 5_000
 MINUTE = 60_000
 
 log = logging.getLogger(__name__)
@@ -102,7 +104,9 @@
         self._addresses: dict[str, str] = {}
         self._renewals: dict[str, asyncio.Task] = {}
         self._transfers: dict[str, asyncio.Task] = {}
-        self._acting_since = -1
+        self._planned_on: tuple = ()
+        self._planned_at = -1
+        self._is_settled = False
         self.loads = LoadBook()
         follower.applied.subscribe(lambda applied: self._wake_granters())
 
@@ -127,12 +131,29 @@
         self._sync_granters()
         if not self._leadership.may_act():
             return
-        plan = self._planner.plan(self._objects(), self._state, self._view_server, self.loads.load)
-        await self._assign_new(plan)
-        await self._split_and_merge(plan)
-        await self._start_moves(plan)
+        if self._is_due_to_plan():
+            plan = self._plan()
+            self._is_settled = not plan.has_changes
+            await self._assign_new(plan)
+            await self._split_and_merge(plan)
+            await self._start_moves(plan)
         self._continue_transfers()
 
+    def _plan(self) -> Plan:
+        objects, load = self._objects(), self.loads.load
+        return self._planner.plan(objects, self._state, self._view_server, load)
+
+    def _is_due_to_plan(self) -> bool:
+        """Tell whether a plan could differ from the last one, or is long ago."""
+        views = tuple(self._view_server(name) for name in sorted(self._granters))
+        situation = (id(self._objects()), self._state.applied, views)
+        now = self._clock.now()
+        same = situation == self._planned_on and self._is_settled
+        if same and now - self._planned_at < REPLAN_PERIOD:
+            return False
+        self._planned_on, self._planned_at = situation, now
+        return True
+
     # Servers
 
     def _sync_granters(self) -> None:
@@ -300,9 +321,7 @@
     async def _reassign(self, partitions: list[str]) -> None:
         if not partitions:
             return
-        planned = self._planner.plan(
-            self._objects(), self._state, self._view_server, self.loads.load
-        )
+        planned = self._plan()
         targets = {name: self._target(name, planned) for name in partitions}
         await self._assign(Placed(name, server) for name, server in targets.items() if server)
 
--- a/src/fuchsiatrack/control/grantclient.py
+++ b/src/fuchsiatrack/control/grantclient.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import hashlib
 from collections.abc import Sequence
 from typing import Any
 
@@ -46,6 +47,12 @@
     partitions: frozenset[str]
 
 
+def digest_of(grants: Sequence[Grant]) -> str:
+    """Return a digest of a whole set of grants, for renewals that don't repeat the set."""
+    parts = sorted(f"{item.partition} {item.fence} {item.without}" for item in grants)
+    return hashlib.sha256("\n".join(parts).encode()).hexdigest()
+
+
 class GrantClient(abc.ABC):
     """Calls to one backend server; every method raises ServerUnreachable."""
 
@@ -77,23 +84,31 @@
         self._session = session
         self._clock = clock
         self._timeout = aiohttp.ClientTimeout(total=timeout / 1000)
+        self._given: tuple[Grant, ...] = ()
+        self._digest = ""
 
     async def read_clock(self) -> Reading:
         body = await self._call("GET", "/clock", None)
         return self._reading(body)
 
     async def grant(self, grants: Sequence[Grant], reading: Reading, lease: int) -> GrantAnswer:
-        body = await self._call(
-            "PUT",
-            "",
-            {
-                "incarnation": reading.incarnation,
-                "reading": reading.clock,
-                "lease": lease,
-                "grants": [dataclasses.asdict(grant) for grant in grants],
-            },
-        )
-        return GrantAnswer(self._reading(body), frozenset(body["held"]))
+        """Renew by the digest of the grants; send them whole when the server asks for them."""
+        given = tuple(grants)
+        if given != self._given:
+            self._given, self._digest = given, digest_of(given)
+        request: dict[str, Any] = {
+            "incarnation": reading.incarnation,
+            "reading": reading.clock,
+            "lease": lease,
+            "digest": self._digest,
+        }
+        body = await self._call("PUT", "", request)
+        if body["wants_grants"]:
+            request["grants"] = [dataclasses.asdict(grant) for grant in given]
+            body = await self._call("PUT", "", request)
+        held = body.get("held")
+        names = frozenset(held) if held is not None else frozenset(g.partition for g in given)
+        return GrantAnswer(self._reading(body), names)
 
     async def revoke(
         self, fences: dict[str, int], reading: Reading | None, lease: int
--- a/src/fuchsiatrack/control/granter.py
+++ b/src/fuchsiatrack/control/granter.py
@@ -13,6 +13,8 @@
 
 # A server that has not answered for this long counts as lost.
 LOST_AFTER = 900
+# Pause of a daemon that does not hold the term.
+IDLE_PERIOD = 5_000
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +48,6 @@
         self._answered_at = -1
         self._steady_since = -1
         self._wake = asyncio.Event()
-        self.held: frozenset[str] = frozenset()
 
     @property
     def name(self) -> str:
@@ -59,8 +60,10 @@
             self._wake.clear()
             if self._leadership.may_act():
                 await self._attempt()
+            # Without the term there is nothing to renew; records of the stream wake this task.
+            period = self._timings.grant_period if self._leadership.holds_term else IDLE_PERIOD
             try:
-                async with asyncio.timeout(self._timings.grant_period / 1000):
+                async with asyncio.timeout(period / 1000):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -130,7 +133,6 @@
         self._note_holding((grant.partition for grant in grants), reading, lease)
         answer = await self._client.grant(grants, reading, lease)
         self._take(answer.reading)
-        self.held = answer.partitions
 
     def _is_stale(self, reading: Reading) -> bool:
         return self._clock.now() - reading.received_at > 2 * self._timings.grant_period
--- a/src/fuchsiatrack/control/leadership.py
+++ b/src/fuchsiatrack/control/leadership.py
@@ -29,6 +29,8 @@
 # Step between the moments at which two daemons claim a term that nobody holds.
 CLAIM_STEP = 60
 CLAIM_TIMEOUT = 3_000
+# Pause between questions of a daemon that is no voter whether the term is held.
+NON_VOTER_PERIOD = 2_000
 # The log counts as down when it has not answered for this long.
 LOG_SILENCE = 3_000
 # A voter that has not supported the leader for this long is replaced.
@@ -122,6 +124,7 @@
         self._voters_known_at = clock.now()
         self._proposed: tuple[Daemon, ...] = ()
         self._proposal_sent = False
+        self._looked_at = -NON_VOTER_PERIOD
         self._supported_at: dict[Daemon, int] = {}
         self._resigned_term = 0
         self._inherited_hold = 0
@@ -248,6 +251,8 @@
     async def _seek(self) -> None:
         if self._peers.is_leaving(self._me.vm) or not self._is_listed():
             return
+        if not self._is_due_to_look():
+            return
         if not await self._is_vacant():
             return
         term = self._state.term
@@ -265,6 +270,15 @@
             self._note_voters()
             await self._take_over()
 
+    def _is_due_to_look(self) -> bool:
+        """Voters notice a lost leader by themselves; others ask them only now and then."""
+        now = self._clock.now()
+        urgent = self._me in self._state.voters or self._state.resigned or not self._state.term
+        if not urgent and now - self._looked_at < NON_VOTER_PERIOD:
+            return False
+        self._looked_at = now
+        return True
+
     def _is_listed(self) -> bool:
         return self._peers.vms.find(self._me.vm) is not None
 
--- a/src/fuchsiatrack/control/placement.py
+++ b/src/fuchsiatrack/control/placement.py
@@ -43,6 +43,11 @@
     merges: tuple[str, ...] = ()
     wanted: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether anything should change."""
+        return bool(self.assign or self.forced or self.voluntary or self.splits or self.merges)
+
 
 class Planner:
     """Plans one service's partitions."""
--- a/src/fuchsiatrack/control/routelease.py
+++ b/src/fuchsiatrack/control/routelease.py
@@ -18,6 +18,9 @@
 from fuchsiatrack.peers.directory import CALL_ERRORS, PeerDirectory
 from fuchsiatrack.peers.peers_pb2 import RouteRequest
 
+# Pause between calls that only report load.
+LOAD_PERIOD = 5_000
+
 log = logging.getLogger(__name__)
 
 
@@ -103,6 +106,7 @@
         self._lease = lease
         self._period = period
         self._until = -1
+        self.is_needed: Callable[[], bool] = lambda: True
         self.unsettled: Callable[[], Iterable[str]] = tuple
         self.take_load: Callable[[], dict[str, float]] = dict
 
@@ -114,7 +118,8 @@
         """Renew until cancelled."""
         while True:
             await self._renew()
-            await self._clock.sleep(self._period)
+            pause = self._period if self.is_needed() else LOAD_PERIOD
+            await self._clock.sleep(pause)
 
     async def _renew(self) -> None:
         state = self._state()
--- a/src/fuchsiatrack/daemon/main.py
+++ b/src/fuchsiatrack/daemon/main.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import os
 import pathlib
 import sys
@@ -31,7 +30,6 @@
         print("\n".join(result.error), file=sys.stderr)
         return EXIT_BAD_SETTINGS
     logs.configure(result.ok.vm, result.ok.log_level)
-    gc.freeze()
     with asyncio.Runner(loop_factory=_loop_factory(result.ok)) as runner:
         runner.run(_serve(result.ok))
     return 0
--- a/src/fuchsiatrack/daemon/operator.py
+++ b/src/fuchsiatrack/daemon/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 import resource
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
@@ -16,6 +17,9 @@
     from fuchsiatrack.daemon.shard import ServiceRuntime
 
 
+MEMORY_FILE = pathlib.Path("/proc/self/statm")
+
+
 class OperatorServer:
     """Answers status, ownership, revisions and service levels as JSON; changes nothing."""
 
@@ -49,7 +53,7 @@
             "log_age_ms": daemon.context.clock.now() - daemon.config.follower.read_at,
             "peers": [peer.vm for peer in daemon.context.peers.reachable],
             "cpu_s": _cpu_seconds(),
-            "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            "memory_kb": _memory_kilobytes(),
             "shards": [self._shard(daemon.config.leadership, state)]
             + [
                 self._shard(runtime.ownership.leadership, runtime.ownership.follower.state)
@@ -107,6 +111,11 @@
     return usage.ru_utime + usage.ru_stime
 
 
+def _memory_kilobytes() -> int:
+    resident_pages = int(MEMORY_FILE.read_text().split()[1])
+    return resident_pages * resource.getpagesize() // 1_024
+
+
 def _partition_counts(ownership: Mapping[str, Any]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for owner in ownership.values():
--- a/src/fuchsiatrack/daemon/shard.py
+++ b/src/fuchsiatrack/daemon/shard.py
@@ -95,8 +95,11 @@
             timings.grant_period,
         )
         self.locator = Locator(service, objects, self.follower, self.lease, clock)
+        self.lease.is_needed = self._has_unchecked_servers
         self.lease.unsettled = self.locator.unsettled
         self.lease.take_load = self.locator.take_load
+        self._counted_on = (0, -1)
+        self._counted = (0, 0)
         self.moves = MoveCounter()
         self.follower.applied.subscribe(self.moves.note)
         self._snapshots = Snapshotter(
@@ -120,11 +123,21 @@
 
     def unavailable(self) -> tuple[int, int]:
         """Return how many partitions there are, and how many have no owner now."""
+        situation = (id(self._objects()), self.follower.state.applied)
+        if situation != self._counted_on:
+            self._counted_on, self._counted = situation, self._count_unavailable()
+        return self._counted
+
+    def _count_unavailable(self) -> tuple[int, int]:
         ownership = self.follower.state.ownership
         names = self._objects().partitions(self.service).keys() | ownership.keys()
         served = sum(1 for name in names if name in ownership and not ownership[name].revoked)
         return len(names), len(names) - served
 
+    def _has_unchecked_servers(self) -> bool:
+        servers = self._objects().servers(self.service)
+        return any(not server.checks_grants for server in servers)
+
     def _connect(self, server: BackendServer) -> GrantClient:
         context = self._context
         timeout = context.settings.timings.grant_timeout
--- a/src/fuchsiatrack/kernel/settings.py
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -72,7 +72,7 @@
     grant_period: Milliseconds = 400
     hold_lease: Milliseconds = 20_000
     grant_timeout: Milliseconds = 500
-    vm_poll: Milliseconds = 500
+    vm_poll: Milliseconds = 1_000
     log_timeout: Milliseconds = 2_000
     log_wait: Milliseconds = 1_000
     shutdown_grace: Milliseconds = 300_000
--- a/src/fuchsiatrack/model/objectset.py
+++ b/src/fuchsiatrack/model/objectset.py
@@ -89,11 +89,7 @@
 
     def partitions(self, service: str) -> dict[str, KeyRange]:
         """Return the slot partitions of *service*, without those of hot keys."""
-        return {
-            partition_name(key_range, slot): key_range
-            for key_range in self.key_ranges(service)
-            for slot in range(key_range.slots)
-        }
+        return self._partitions.get(service, {})
 
     @functools.cached_property
     def _by_kind(self) -> dict[type, dict[str, Any]]:
@@ -126,6 +122,17 @@
             for name in self.services
         }
 
+    @functools.cached_property
+    def _partitions(self) -> dict[str, dict[str, KeyRange]]:
+        return {
+            name: {
+                partition_name(key_range, slot): key_range
+                for key_range in ranges
+                for slot in range(key_range.slots)
+            }
+            for name, ranges in self._ranges.items()
+        }
+
     @functools.cached_property
     def _callers(self) -> dict[str, Caller]:
         return {item.token_sha256: item for item in self.of(Caller).values()}
--- a/src/fuchsiatrack/peers/directory.py
+++ b/src/fuchsiatrack/peers/directory.py
@@ -18,9 +18,10 @@
 
 # Peers that a daemon pings, however many daemons there are.
 MAX_PEERS = 8
-PING_PERIOD = 500
+PING_PERIOD = 1_000
+PING_TIMEOUT = 500
 # A peer that has not answered for this long counts as unreachable.
-PEER_TIMEOUT = 2_000
+PEER_TIMEOUT = 3_000
 
 log = logging.getLogger(__name__)
 CALL_ERRORS = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
@@ -135,7 +136,7 @@
         request = PingRequest(vm=self._me.vm, incarnation=self._me.incarnation)
         asked_at = self._clock.now()
         try:
-            async with asyncio.timeout(PING_PERIOD / 1000):
+            async with asyncio.timeout(PING_TIMEOUT / 1000):
                 reply = await self._stub(vm.address, vm.peer_port).Ping(request)
         except CALL_ERRORS:
             return
--- a/src/fuchsiatrack/plugins/balancing.py
+++ b/src/fuchsiatrack/plugins/balancing.py
@@ -46,7 +46,8 @@
         """Return one of *candidates*, which is not empty; *now* is in milliseconds."""
 
     def _pair(self, candidates: Sequence[ServerView]) -> Sequence[ServerView]:
-        return candidates if len(candidates) < 3 else self._rng.sample(candidates, 2)
+        """Return up to two random candidates, in random order, so that ties fall evenly."""
+        return self._rng.sample(candidates, min(2, len(candidates)))
 
 
 @register("balancing", "least-in-flight")
--- a/src/fuchsiatrack_standins/backend.py
+++ b/src/fuchsiatrack_standins/backend.py
@@ -86,6 +86,8 @@
         self._journal = journal
         self._held: dict[str, Held] = {}
         self._fences: dict[str, int] = {}
+        self._set: list[str] = []
+        self._digest = ""
         self.running: set[Running] = set()
 
     def has_new(self, grants: list[dict[str, Any]]) -> bool:
@@ -93,6 +95,31 @@
         fences = {name: held.fence for name, held in self._held.items()}
         return any(fences.get(item["partition"]) != item["fence"] for item in grants)
 
+    def give_all(self, grants: list[dict[str, Any]], digest: str, until: int) -> list[str]:
+        """Take a whole set of grants; remember its digest if every one was taken."""
+        held = [
+            item["partition"]
+            for item in grants
+            if self.give(item["partition"], item["fence"], item["without"], until)
+        ]
+        self._set = [item["partition"] for item in grants]
+        self._digest = digest if len(held) == len(grants) else ""
+        return held
+
+    def renew(self, digest: str, until: int) -> bool:
+        """Extend the grants of the set with this digest; False when they are not all held."""
+        if not self._digest or digest != self._digest:
+            return False
+        if not all(name in self._held for name in self._set):
+            return False
+        for name in self._set:
+            held = self._held[name]
+            held.until = max(held.until, until)
+            self._journal.write(
+                "grant", partition=name, fence=held.fence, left=held.until - clock()
+            )
+        return True
+
     def give(self, partition: str, fence: int, without: list[str], until: int) -> bool:
         """Take a grant; False when its fence is lower than one that was seen."""
         if fence < self._fences.get(partition, 0):
@@ -112,6 +139,7 @@
         if fence < self._fences.get(partition, 0):
             return False
         self._fences[partition] = fence
+        self._digest = ""
         held = self._held.get(partition)
         if held and held.fence < fence:
             held.draining = True
@@ -209,18 +237,18 @@
         body = await request.json()
         if self.faults.grants_down:
             return web.Response(status=503)
-        step = "grant" if self._grants.has_new(body["grants"]) else "renew"
+        step = "grant" if self._grants.has_new(body.get("grants", [])) else "renew"
         await self._hold.at(step, "before")
         if body["incarnation"] != self._incarnation:
-            return self._reading(held=[])
+            return self._reading(held=[], wants_grants=False)
         until = body["reading"] + body["lease"]
-        held = [
-            item["partition"]
-            for item in body["grants"]
-            if self._grants.give(item["partition"], item["fence"], item["without"], until)
-        ]
+        if "grants" not in body:
+            known = self._grants.renew(body["digest"], until)
+            await self._hold.at(step, "after")
+            return self._reading(wants_grants=not known)
+        held = self._grants.give_all(body["grants"], body["digest"], until)
         await self._hold.at(step, "after")
-        return self._reading(held=held)
+        return self._reading(held=held, wants_grants=False)
 
     async def _revoke(self, request: web.Request) -> web.Response:
         body = await request.json()
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,166 @@
+"""Parts of the request path by themselves: limits, retries, pools, placement policies."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from test_model import small_set
+
+from fuchsiatrack.kernel import registry
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.model.check import check_documents
+from fuchsiatrack.model.objects import Limit
+from fuchsiatrack.plugins.placement import PlacementInput
+from fuchsiatrack.routing.limits import LimitBook
+from fuchsiatrack.routing.pool import ServerPool
+from fuchsiatrack.routing.refusal import Refusal
+from fuchsiatrack.routing.retries import BUDGET_MAX, RetryBudget
+
+AMPLIFICATION_MAX = 1.2
+
+
+class ManualClock(Clock):
+    """A clock that a test sets, in milliseconds."""
+
+    def __init__(self):
+        self.at = 10_000
+
+    def now(self):
+        return self.at
+
+
+class TestLimits:
+    def limit(self, **more):
+        return Limit("Limit", "l", "crew", "poles", 10.0, **more)
+
+    def test_rate_is_shared_between_daemons(self):
+        clock = ManualClock()
+        book = LimitBook(clock, lambda: 2)
+        limit = self.limit(burst=2)
+        book.acquire([limit])
+        with pytest.raises(Refusal):
+            book.acquire([limit])
+        clock.at += 200
+        assert book.acquire([limit])
+
+    def test_requests_in_flight(self):
+        book = LimitBook(ManualClock(), lambda: 1)
+        limit = self.limit(in_flight=1)
+        taken = book.acquire([limit])
+        with pytest.raises(Refusal):
+            book.acquire([limit])
+        book.release(taken)
+        assert book.acquire([limit])
+
+    def test_one_limit_reached_counts_against_none(self):
+        book = LimitBook(ManualClock(), lambda: 1)
+        full, free = self.limit(in_flight=1), Limit("Limit", "m", "crew", "poles", 10.0, burst=2)
+        book.acquire([full])
+        with pytest.raises(Refusal):
+            book.acquire([free, full])
+        assert book.acquire([free]) and book.acquire([free])
+
+
+class TestRetryBudget:
+    def test_storm_of_failures_is_not_amplified(self):
+        budget, sends = RetryBudget(), 0
+        for _ in range(1_000):
+            budget.deposit()
+            sends += 1
+            while budget.take():
+                sends += 1
+        assert sends <= 1_000 * AMPLIFICATION_MAX
+
+    def test_saved_budget_is_bounded(self):
+        budget = RetryBudget()
+        for _ in range(100_000):
+            budget.deposit()
+        taken = 0
+        while budget.take():
+            taken += 1
+        assert taken <= BUDGET_MAX
+
+
+class TestServerPool:
+    def pool(self, servers=4):
+        documents = [
+            {"kind": "FailureDomain", "name": "a"},
+            {"kind": "Service", "name": "records"},
+        ]
+        documents += [
+            {
+                "kind": "BackendServer",
+                "name": f"records-{n}",
+                "service": "records",
+                "failure_domain": "a",
+                "address": f"127.0.2.{n}:7100",
+            }
+            for n in range(1, servers + 1)
+        ]
+        objects = check_documents(documents).objects
+        clock = ManualClock()
+        self.leaving = set()
+        is_leaving = self.leaving.__contains__
+        pool = ServerPool("records", lambda: objects, is_leaving, clock, random.Random(1))
+        return pool, clock
+
+    def fail(self, pool, name):
+        for _ in range(100):
+            target = pool.choose()
+            pool.begin(target)
+            pool.end(target, 10, target.server == name)
+
+    def test_failing_server_is_left_out(self):
+        pool, _ = self.pool()
+        self.fail(pool, "records-1")
+        assert "records-1" not in {pool.choose().server for _ in range(50)}
+
+    def test_failures_everywhere_never_empty_the_service(self):
+        pool, _ = self.pool()
+        for _ in range(200):
+            target = pool.choose()
+            pool.begin(target)
+            pool.end(target, 10, True)
+        assert len({pool.choose().server for _ in range(50)}) >= 2
+
+    def test_leaving_server_gets_nothing(self):
+        pool, _ = self.pool()
+        self.leaving.add("records-2")
+        assert "records-2" not in {pool.choose().server for _ in range(50)}
+
+
+class TestPlacementPolicies:
+    PARTITIONS = [f"all/{n}" for n in range(40)]
+    CAPACITY = {f"poles-{n}": 4 for n in range(5)}
+
+    def place(self, policy, owners=None, load=None, capacity=None, pinned=None):
+        registry.load_plugins()
+        given = PlacementInput(
+            self.PARTITIONS, owners or {}, load or {}, capacity or self.CAPACITY, pinned or {}
+        )
+        return registry.find("placement", policy)().place(given)
+
+    @pytest.mark.parametrize("policy", ["rendezvous", "bounded-load", "load-aware"])
+    def test_places_everything_and_keeps_pins(self, policy):
+        wanted = self.place(policy, pinned={"all/7": "poles-3"})
+        assert set(wanted) == set(self.PARTITIONS) and wanted["all/7"] == "poles-3"
+        assert set(wanted.values()) <= set(self.CAPACITY)
+
+    @pytest.mark.parametrize("policy", ["rendezvous", "bounded-load", "load-aware"])
+    def test_lost_server_moves_only_its_own_partitions(self, policy):
+        owners = self.place(policy)
+        left = {name: slots for name, slots in self.CAPACITY.items() if name != "poles-0"}
+        wanted = self.place(policy, owners, capacity=left)
+        moved = {name for name in owners if owners[name] != wanted[name]}
+        assert moved == {name for name in owners if owners[name] == "poles-0"}
+
+    def test_pinning_a_partition_moves_no_other(self):
+        owners = self.place("bounded-load")
+        target = next(name for name in self.CAPACITY if name != owners["all/1"])
+        wanted = self.place("bounded-load", owners, pinned={"all/1": target})
+        moved = {name for name in owners if owners[name] != wanted[name]}
+        assert moved == {"all/1"}
+
+    def test_rules_of_the_small_set_hold(self):
+        assert check_documents(small_set()).findings == ()
