Keep one owner when a server's address changes or a server is withdrawn

Cause, found while reading as a newcomer: a server published again under its name with another address got a fresh renewal loop at once, which knew nothing of the grants at the old address, so its keys could be given away while the old process still owned them. And a leader that started after a server was withdrawn had no way to settle what that server owned: its keys stayed without an owner for good. Change: a server whose address changed first gives up what it owns, through the old address; a server that this leader never knew is waited out. A server keeps its service and checks_grants under its name, an unchecked one also its address (checked with each publish). The fake grant calls now give up after 0.5 s while the call may still arrive, as real ones do.

Also: choice of voters in a module of its own; the stand-ins' Hold is now Breakpoint, since hold names the longer grants of an outage.

--- a/src/fuchsiatrack/control/assigner.py
+++ b/src/fuchsiatrack/control/assigner.py
@@ -101,7 +101,7 @@
         self._planner = Planner(service)
         self._budget = MoveBudget(clock)
         self._granters: dict[str, Granter] = {}
-        self._addresses: dict[str, str] = {}
+        self._known: dict[str, BackendServer] = {}
         self._renewals: dict[str, asyncio.Task] = {}
         self._transfers: dict[str, asyncio.Task] = {}
         self._planned_on: tuple = ()
@@ -158,13 +158,18 @@
 
     def _sync_granters(self) -> None:
         servers = {server.name: server for server in self._objects().servers(self._service)}
+        owners = {owner.server for owner in self._state.ownership.values()}
         for name, server in servers.items():
-            if self._addresses.get(name) != server.address:
+            # A server at another address is another one; the old one first gives up what it owns.
+            if name not in self._granters or (self._has_moved(server) and name not in owners):
                 self._start_granter(server)
-        owners = {owner.server for owner in self._state.ownership.values()}
         for name in self._granters.keys() - servers.keys() - owners:
             self._renewals.pop(name).cancel()
-            del self._granters[name], self._addresses[name]
+            del self._granters[name], self._known[name]
+
+    def _has_moved(self, server: BackendServer) -> bool:
+        known = self._known.get(server.name)
+        return known is None or known.address != server.address
 
     def _start_granter(self, server: BackendServer) -> None:
         if server.name in self._renewals:
@@ -178,7 +183,7 @@
             self._timings,
         )
         self._granters[server.name] = granter
-        self._addresses[server.name] = server.address
+        self._known[server.name] = server
         self._renewals[server.name] = asyncio.create_task(granter.run())
 
     def _grants(self, server: str) -> Sequence[Grant]:
@@ -194,8 +199,8 @@
             granter.wake()
 
     def _view_server(self, name: str) -> ServerView:
-        granter = self._granters.get(name)
-        if granter is None:
+        granter, server = self._granters.get(name), self._find_server(name)
+        if granter is None or server is None or self._has_moved(server):
             return ServerView(False, True)
         leaving = self._peers.is_leaving(self._vm_of(name))
         return ServerView(granter.is_usable() and not leaving, leaving or granter.is_lost())
@@ -286,17 +291,26 @@
 
     async def _settled(self, server: str, leaving: dict[str, int]) -> list[str]:
         """Return the partitions that *server* certainly executes nothing for any more."""
-        granter, found = self._granters.get(server), self._find_server(server)
-        if granter is None:
-            return []
+        granter, known = self._granters.get(server), self._known.get(server)
+        if granter is None or known is None:
+            return self._outlived(leaving)
         released: frozenset[str] = frozenset()
-        if found is None or found.checks_grants:
+        if known.checks_grants:
             try:
                 released = await granter.revoke(leaving)
             except ServerUnreachable as error:
                 log.debug("no revoke", extra={"server": server, "why": str(error)})
             return self._lapsed(granter, leaving, released)
-        return self._cleared(granter, found, leaving)
+        return self._cleared(granter, known, leaving)
+
+    def _outlived(self, leaving: dict[str, int]) -> list[str]:
+        """Return the partitions that a server can't own any more that was withdrawn before.
+
+        Neither its address nor its kind is known to this leader, so every lease is waited out.
+        """
+        if self._clock.now() < self._leadership.inherited_until:
+            return []
+        return [name for name, fence in leaving.items() if self._leases.is_clear(name, fence)]
 
     def _cleared(
         self, granter: Granter, server: BackendServer, leaving: dict[str, int]
--- a/src/fuchsiatrack/control/leadership.py
+++ b/src/fuchsiatrack/control/leadership.py
@@ -19,13 +19,13 @@
 from fuchsiatrack.control.state import ShardState
 from fuchsiatrack.control.voter import Support, Voter
 from fuchsiatrack.control.votercalls import VoterCalls
+from fuchsiatrack.control.voterset import choose_voters, majority
 from fuchsiatrack.control.writer import StreamWriter
 from fuchsiatrack.kernel.clock import Clock, longest, shortest
 from fuchsiatrack.kernel.errors import PlatformUnavailable
 from fuchsiatrack.kernel.settings import TimingSettings
 from fuchsiatrack.peers.directory import PeerDirectory
 
-MAX_VOTERS = 5
 # Step between the moments at which two daemons claim a term that nobody holds.
 CLAIM_STEP = 60
 CLAIM_TIMEOUT = 3_000
@@ -39,11 +39,6 @@
 log = logging.getLogger(__name__)
 
 
-def majority(voters: tuple[Daemon, ...]) -> int:
-    """Return how many of *voters* are more than half."""
-    return len(voters) // 2 + 1
-
-
 class Leadership:
     """Claims, keeps and gives up the term of one shard.  Times are in milliseconds."""
 
@@ -211,7 +206,7 @@
         await self._clock.sleep(self._rank() * CLAIM_STEP)
         if self._state.term != term or not await self._is_vacant():
             return
-        voters = self._choose_voters(())
+        voters = choose_voters((), self._peers.reachable) or (self._me,)
         version = self._peers.vms.version
 
         def build(identity: RecordId) -> Claim:
@@ -336,7 +331,7 @@
         new ones are told of a hold that may be in force before they can replace those who know.
         """
         voters = self._state.voters
-        wanted = self._proposed or self._choose_voters(tuple(v for v in voters if self._is_kept(v)))
+        wanted = self._proposed or self._wanted_voters()
         if set(wanted) == set(voters) or not wanted:
             self._proposed, self._proposal_sent = (), False
             return
@@ -364,6 +359,10 @@
         self._note_voters()
         await self._renew()
 
+    def _wanted_voters(self) -> tuple[Daemon, ...]:
+        kept = tuple(voter for voter in self._state.voters if self._is_kept(voter))
+        return choose_voters(kept, self._peers.reachable) or (self._me,)
+
     def _is_known_enough(self, told: set[Daemon], wanted: tuple[Daemon, ...]) -> bool:
         """Tell whether *wanted* may become voters: all know of a hold that may be in force."""
         if self._hold_granted_until > self._clock.now():
@@ -376,19 +375,6 @@
         since = max(self._supported_at.get(voter, 0), self._voters_known_at, self.entitled_at)
         return voter == self._me or self._clock.now() - since < VOTER_PATIENCE
 
-    def _choose_voters(self, kept: tuple[Daemon, ...]) -> tuple[Daemon, ...]:
-        """Fill up *kept* to an odd number of voters from many failure domains."""
-        chosen = list(kept)
-        spare = [daemon for daemon in self._peers.reachable if daemon not in chosen]
-        while spare and len(chosen) < MAX_VOTERS:
-            used = [daemon.failure_domain for daemon in chosen]
-            best = min(spare, key=lambda daemon: (used.count(daemon.failure_domain), daemon.vm))
-            spare.remove(best)
-            chosen.append(best)
-        if len(chosen) % 2 == 0 and len(chosen) > len(kept):
-            chosen.pop()
-        return tuple(chosen) or (self._me,)
-
 
 @dataclasses.dataclass(frozen=True)
 class LeadershipReport:
--- /dev/null
+++ b/src/fuchsiatrack/control/voterset.py
@@ -0,0 +1,28 @@
+"""Which daemons are the voters of a shard."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fuchsiatrack.control.records import Daemon
+
+MAX_VOTERS = 5
+
+
+def majority(voters: tuple[Daemon, ...]) -> int:
+    """Return how many of *voters* are more than half."""
+    return len(voters) // 2 + 1
+
+
+def choose_voters(kept: tuple[Daemon, ...], reachable: Iterable[Daemon]) -> tuple[Daemon, ...]:
+    """Fill up *kept* from *reachable* to an odd number of voters from many failure domains."""
+    chosen = list(kept)
+    spare = [daemon for daemon in reachable if daemon not in chosen]
+    while spare and len(chosen) < MAX_VOTERS:
+        used = [daemon.failure_domain for daemon in chosen]
+        best = min(spare, key=lambda daemon: (used.count(daemon.failure_domain), daemon.vm))
+        spare.remove(best)
+        chosen.append(best)
+    if len(chosen) % 2 == 0 and len(chosen) > len(kept):
+        chosen.pop()
+    return tuple(chosen)
--- a/src/fuchsiatrack/model/check.py
+++ b/src/fuchsiatrack/model/check.py
@@ -245,11 +245,26 @@
     others, one key would belong to two partitions while daemons change over.
     """
     kept = old.services.keys() & new.services.keys()
-    return tuple(
+    ranges = (
         Finding("published set", f"Service {name}", "key ranges", "can't change once published")
         for name in sorted(kept)
         if _layout(old, name) != _layout(new, name)
     )
+    return (*ranges, *_server_succession(old, new))
+
+
+def _server_succession(old: ObjectSet, new: ObjectSet) -> Iterator[Finding]:
+    """A server that becomes another one under the same name could own keys beside the old one.
+
+    A checking server's address may change: its grants at the old address are ended first.
+    """
+    before = old.of(BackendServer)
+    for name, server in new.of(BackendServer).items():
+        fixed = ["service", "checks_grants", *(() if server.checks_grants else ("address",))]
+        for field in fixed:
+            if name in before and getattr(before[name], field) != getattr(server, field):
+                owner = f"BackendServer {name}"
+                yield Finding("published set", owner, field, "can't change; use another name")
 
 
 def _layout(objects: ObjectSet, service: str) -> list[tuple[str, str, str, int]]:
--- a/src/fuchsiatrack_standins/backend.py
+++ b/src/fuchsiatrack_standins/backend.py
@@ -17,7 +17,7 @@
 from absl import app, flags
 from aiohttp import web
 
-from fuchsiatrack_standins.hold import Hold
+from fuchsiatrack_standins.breakpoint import Breakpoint
 from fuchsiatrack_standins.journal import Journal, now
 
 FLAGS = flags.FLAGS
@@ -191,7 +191,7 @@
         self._waiting = 0
         self._orders: dict[str, asyncio.Future] = {}
         self._started = clock()
-        self._hold = Hold()
+        self._breakpoint = Breakpoint()
         self._load_seen: list[tuple[int, int]] = [(0, 0)]
         self.faults = Faults()
 
@@ -206,7 +206,7 @@
                 web.get("/probe", self._probe),
                 web.get("/load", self._load),
                 web.post("/control/faults", self._set_faults),
-                *self._hold.routes(),
+                *self._breakpoint.routes(),
                 web.route("*", "/{path:.*}", self._serve),
             ]
         )
@@ -238,23 +238,23 @@
         if self.faults.grants_down:
             return web.Response(status=503)
         step = "grant" if self._grants.has_new(body.get("grants", [])) else "renew"
-        await self._hold.at(step, "before")
+        await self._breakpoint.at(step, "before")
         if body["incarnation"] != self._incarnation:
             return self._reading(held=[], wants_grants=False)
         until = body["reading"] + body["lease"]
         if "grants" not in body:
             known = self._grants.renew(body["digest"], until)
-            await self._hold.at(step, "after")
+            await self._breakpoint.at(step, "after")
             return self._reading(wants_grants=not known)
         held = self._grants.give_all(body["grants"], body["digest"], until)
-        await self._hold.at(step, "after")
+        await self._breakpoint.at(step, "after")
         return self._reading(held=held, wants_grants=False)
 
     async def _revoke(self, request: web.Request) -> web.Response:
         body = await request.json()
         if self.faults.grants_down:
             return web.Response(status=503)
-        await self._hold.at("revoke", "before")
+        await self._breakpoint.at("revoke", "before")
         until = 0
         if body.get("incarnation") == self._incarnation:
             until = body["reading"] + body["lease"]
@@ -263,7 +263,7 @@
             for name, fence in body["fences"].items()
             if self._grants.revoke(name, fence, until)
         ]
-        await self._hold.at("revoke", "after")
+        await self._breakpoint.at("revoke", "after")
         return self._reading(released=released)
 
     # Health
--- a/src/fuchsiatrack_standins/hold.py
+++ b/src/fuchsiatrack_standins/breakpoint.py
@@ -1,4 +1,4 @@
-"""Holding one call of a stand-in, so that a fault can be put exactly before or after it."""
+"""A breakpoint in a stand-in: one call waits there, so that a fault falls before or after it."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 
 from aiohttp import web
 
-HOLD_MAX_S = 1.5
+WAIT_MAX_S = 1.5
 
 
-class Hold:
-    """Stops the next call of a kind until it is released or `HOLD_MAX_S` has passed.
+class Breakpoint:
+    """Stops the next call of a kind until it is released or `WAIT_MAX_S` has passed.
 
     ``POST /control/hold`` arms it with ``step`` and ``stage`` ("before" or "after" the effect),
     ``GET /control/held`` returns once a call is held, ``POST /control/release`` lets it go.
@@ -39,7 +39,7 @@
         self.held_by = by
         self._held.set()
         try:
-            async with asyncio.timeout(HOLD_MAX_S):
+            async with asyncio.timeout(WAIT_MAX_S):
                 await self._released.wait()
         except TimeoutError:
             pass
--- a/src/fuchsiatrack_standins/platform.py
+++ b/src/fuchsiatrack_standins/platform.py
@@ -16,7 +16,7 @@
 from absl import app, flags
 from aiohttp import web
 
-from fuchsiatrack_standins.hold import Hold
+from fuchsiatrack_standins.breakpoint import Breakpoint
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("address", "127.0.0.1", "IP number to listen on.")
@@ -91,7 +91,7 @@
         self._allowance_at = time.monotonic()
         self._vms: dict[str, dict[str, Any]] = {}
         self._versions: list[tuple[float, int, list[dict[str, Any]]]] = [(0.0, 0, [])]
-        self._hold = Hold()
+        self._breakpoint = Breakpoint()
         self._late: set[asyncio.Task] = set()
         self.faults = Faults()
         self.appends = 0
@@ -110,7 +110,7 @@
                 web.get("/control/stats", self._stats),
                 web.put("/control/vms/{name}", self._put_vm),
                 web.delete("/control/vms/{name}", self._delete_vm),
-                *self._hold.routes(),
+                *self._breakpoint.routes(),
             ]
         )
         return application
@@ -126,7 +126,7 @@
             return web.Response(status=429)
         stream = self._stream(request)
         kind, writer = _describe(data)
-        await self._hold.at(kind, "before", writer)
+        await self._breakpoint.at(kind, "before", writer)
         if self.faults.log_down:
             return web.Response(status=503)
         self.appends += 1
@@ -136,7 +136,7 @@
             task.add_done_callback(self._late.discard)
             return web.Response(status=504)
         offset = await stream.append(data)
-        await self._hold.at(kind, "after", writer)
+        await self._breakpoint.at(kind, "after", writer)
         if self.faults.log_down:
             return web.Response(status=503)
         if self._rng.random() < self.faults.lose_append_answers:
@@ -238,7 +238,7 @@
 
 
 def _describe(data: str) -> tuple[str, str]:
-    """Return the kind of a record and the VM that wrote it, for holds only."""
+    """Return the kind of a record and the VM that wrote it, for breakpoints only."""
     try:
         body = json.loads(data)
         return body["kind"], body["id"]["writer"].partition(".")[0]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -29,6 +29,7 @@
 from fuchsiatrack.platform.vms import VM, VMSnapshot, VMState
 
 registry.load_plugins()
+CALL_TIMEOUT_S = 0.5
 
 
 class VirtualSelector(selectors.SelectSelector):
@@ -320,15 +321,34 @@
         self._server = server
 
     async def read_clock(self):
+        return await self._call(self._read_clock())
+
+    async def grant(self, grants, reading, lease):
+        return await self._call(self._grant(grants, reading, lease))
+
+    async def revoke(self, fences, reading, lease):
+        return await self._call(self._revoke(fences))
+
+    async def _call(self, call):
+        """Give up after a while; the call may still arrive."""
+        task = asyncio.create_task(call)
+        try:
+            return await asyncio.wait_for(asyncio.shield(task), CALL_TIMEOUT_S)
+        except TimeoutError:
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+            await self._node.gate.wait()
+            raise ServerUnreachable("no answer in time") from None
+
+    async def _read_clock(self):
         await self._send()
         return await self._receive()
 
-    async def grant(self, grants, reading, lease):
+    async def _grant(self, grants, reading, lease):
         await self._send()
         held = self._server.grant(grants, reading, lease)
         return GrantAnswer(await self._receive(), held)
 
-    async def revoke(self, fences, reading, lease):
+    async def _revoke(self, fences):
         await self._send()
         released = self._server.revoke(fences)
         return GrantAnswer(await self._receive(), released)
@@ -402,6 +422,7 @@
         self.nodes = {}
         self.listed = {}
         self.overlaps = []
+        self.replaced = []
         self.servers = {
             server.name: FakeServer(server.name, self, self.network.rng.randrange(10**6))
             for server in objects.servers(self.service)
@@ -425,7 +446,7 @@
 
     def observe(self, partition, owner):
         """Note every server that owns *partition* while *owner* has just been granted it."""
-        for server in self.servers.values():
+        for server in (*self.servers.values(), *self.replaced):
             if server is not owner and server.owns(partition):
                 self.overlaps.append((partition, server.name, owner.name))
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -89,6 +89,20 @@
         whys = " ".join(f.why for f in check_documents(broken).findings)
         assert "is also defined" in whys and "overlaps" in whys
 
+    @pytest.mark.parametrize(
+        ("change", "allowed"),
+        [
+            ({"checks_grants": False}, False),
+            ({"address": "127.0.2.9:7100"}, True),
+            ({"slots": 8}, True),
+        ],
+    )
+    def test_server_keeps_its_kind_under_its_name(self, change, allowed):
+        changed = small_set()
+        changed[6] |= change
+        old, new = (check_documents(d).objects for d in (small_set(), changed))
+        assert (check_succession(old, new) == ()) is allowed
+
     def test_key_ranges_stay_as_published(self):
         changed = small_set()
         changed[3]["slots"] = 8
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 import pytest
-from fakes import Fleet, run_virtual
+from fakes import FakeServer, Fleet, run_virtual
 from test_model import small_set
 
 from fuchsiatrack.control.grantclient import ServerUnreachable
@@ -237,7 +238,9 @@
             sent = asyncio.create_task(leader.assigner._granters["poles-1"]._renew())
             await asyncio.sleep(fleet.timings.grant_lease / 1000 + 0.5)
             leader.gate.thaw()
-            await sent
+            with contextlib.suppress(ServerUnreachable):
+                await sent
+            await asyncio.sleep(0.1)
             # What the paused leader still sent has arrived, and has ended already.
             assert not any(server.owns(name) for name in held)
 
@@ -274,6 +277,36 @@
 
         scenario(steps)
 
+    def test_server_that_is_published_with_another_address_is_another_server(self):
+        async def steps(fleet):
+            old = fleet.servers["poles-1"]
+            fleet.replaced.append(old)
+            fleet.servers["poles-1"] = FakeServer("poles-1", fleet, 5_000_000)
+            fleet.objects = with_address(fleet.objects, "poles-1", "127.0.2.99:7100")
+            await asyncio.sleep(8)
+            await fleet.settle()
+            assert not any(old.owns(name) for name in partitions(fleet))
+
+        assert scenario(steps).overlaps == []
+
+    def test_withdrawn_server_gives_up_its_keys_also_under_a_new_leader(self):
+        async def steps(fleet):
+            fleet.objects = small_objects(servers=2)
+            fleet.servers["poles-3"].gate.freeze()
+            await fleet.wait_until(
+                lambda: any(o.revoked for o in _ownership(fleet).values() if o.server == "poles-3")
+            )
+            for node in list(fleet.listed.values()):
+                del fleet.listed[node.daemon.vm]
+                node.kill()
+            for number in range(3):
+                fleet.start_node(f"new-{number}")
+            await fleet.wait_until(lambda: fleet.leader is not None)
+            await fleet.wait_until(lambda: "poles-3" not in _owners(fleet), 40)
+            await fleet.settle()
+
+        assert scenario(steps).overlaps == []
+
     def test_hot_key_keeps_to_one_server(self):
         async def steps(fleet):
             fleet.objects = with_hot_key(fleet.objects, "pole-1", "poles-3")
@@ -290,6 +323,14 @@
     return any(o.server != server for p, o in _ownership(fleet).items() if p in names)
 
 
+def with_address(objects, name, address):
+    documents = [
+        document | ({"address": address} if document["name"] == name else {})
+        for document in objects.to_documents()
+    ]
+    return check_documents(documents).objects
+
+
 class TestHold:
     """Longer grants while the log is down, told to the voters before they are given."""
 
