Say may-have-run when any earlier send may have run; trust deduplication only of an owner

Causes, found while reading, each with a test that was red before: - an idempotent request whose first send may have run and whose second found no owner, or was shed, was refused as not run; the verdict of the last send was taken for all of them; - in an outage of the log an order to a service without keys that deduplicates was sent without a record; its repeat could reach another server of the pool that did not know the id. Change: an exchange remembers that a send may have run; deduplication stands in for the log only where the key has an owner.

--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -138,6 +138,7 @@
         self._body = RequestBody(request, admitted.service.max_body, parts.body_idle_timeout)
         self._avoid: frozenset[str] = frozenset()
         self._sends = 0
+        self._may_have_run = False
         self._attempt: Attempt | None = None
 
     async def run(self) -> web.StreamResponse:
@@ -151,6 +152,9 @@
             await self._begin_order(target)
             return await self._send_until_answered(target)
         except Refusal as refusal:
+            if self._may_have_run:
+                # What is proved of the last send says nothing of the ones before.
+                refusal.verdict = Verdict.MAY_HAVE_RUN
             if self._attempt and refusal.verdict is Verdict.NOT_RUN:
                 self._parts.ledger.free(self._attempt)
             raise
@@ -174,7 +178,8 @@
         admitted = self._admitted
         if admitted.idempotent or not admitted.order:
             return
-        caller, trusted = admitted.caller.name, admitted.service.deduplicates
+        # Without an owner, a repeat could reach a server that does not know the id.
+        caller, trusted = admitted.caller.name, admitted.service.deduplicates and target.fence > 0
         attempt = Attempt(caller, admitted.order, secrets.token_hex(8), target.fence)
         wait = min(self._left, ORDER_LOG_WAIT) if trusted else self._left
         self._attempt = attempt
@@ -183,7 +188,7 @@
             self._attempt = None
             known = self._parts.ledger.find(caller, admitted.order)
             same_owner = known is not None and known.fence == target.fence
-            if not (trusted and same_owner and target.fence):
+            if not (trusted and same_owner):
                 raise Refusal(Reason.REPEATED_ORDER, Verdict.MAY_HAVE_RUN)
         elif beginning is Beginning.UNSETTLED and not trusted:
             raise Refusal(Reason.ORDER_LOG, retry_after=2_000)
@@ -218,6 +223,7 @@
         finally:
             for scope in scopes:
                 self._parts.chooser.unwatch(target, scope)
+            self._may_have_run |= verdict is Verdict.MAY_HAVE_RUN
             self._parts.chooser.end(target, self._clock.now() - started, verdict)
 
     def _is_superseded(self, target: Target) -> bool:
