Stay ready while a new service is being learnt

Cause, found while reading: readiness asked every service's streams, so publishing a new service made each daemon refuse all requests, of every service, until the new streams were replayed. The test was red before (refusals as not-ready during a publish). Change: readiness is what was needed at the start; a new service is refused by itself until it is replayed. Also: a caller that goes away closes the server's answer at once.

--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -73,6 +73,7 @@
         self._settings = settings
         self._stop = asyncio.Event()
         self._has_failed = False
+        self._has_started = False
         self._tasks: dict[str, asyncio.Task] = {}
         self.context = _create_context(settings)
         self.config = Configuration(self.context)
@@ -96,10 +97,20 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the daemon has replayed everything that it needs to serve."""
-        if not self.config.follower.caught_up.is_set():
-            return False
-        return all(runtime.is_ready for runtime in self.runtimes.values())
+        """Whether the daemon has replayed all that it needed when it started.
+
+        A service that is published later is refused until its streams have been replayed; it
+        takes nothing from the others.
+        """
+        if not self._has_started:
+            services = self.objects().services
+            caught_up = self.config.follower.caught_up.is_set()
+            self._has_started = caught_up and all(map(self._is_served, services))
+        return self._has_started
+
+    def _is_served(self, service: str) -> bool:
+        runtime = self.runtimes.get(service)
+        return runtime is not None and runtime.is_ready
 
     @property
     def is_stopping(self) -> bool:
@@ -233,10 +244,9 @@
         await self.context.log.close()
 
     def _parts_for(self, service: str) -> ExchangeParts:
-        runtime = self.runtimes.get(service)
-        if runtime is None:
+        if not self._is_served(service):
             raise Refusal(Reason.NOT_READY, retry_after=1_000)
-        return runtime.parts
+        return self.runtimes[service].parts
 
 
 def _create_context(settings: Settings) -> Context:
--- a/src/fuchsiatrack/routing/answers.py
+++ b/src/fuchsiatrack/routing/answers.py
@@ -53,6 +53,10 @@
         if passed_on and request.transport is not None:
             request.transport.abort()
         raise TruncatedAnswer(passed_on) from error
+    except asyncio.CancelledError:
+        # The caller has gone away; closing the connection cancels the request at the server.
+        response.close()
+        raise
 
 
 def _head(response: aiohttp.ClientResponse, request_id: str) -> dict[str, str]:
--- a/src/fuchsiatrack/routing/locator.py
+++ b/src/fuchsiatrack/routing/locator.py
@@ -85,7 +85,7 @@
             self._scopes.pop(target.partition, None)
 
     def is_superseded(self, target: Target) -> bool:
-        """Tell whether another server than that of *target* owns the partition now."""
+        """Tell whether the partition of *target* has been given anew since it was chosen."""
         owner = self._owner(target.partition)
         return owner is not None and owner.fence != target.fence
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -10,7 +10,7 @@
 import pytest
 import pytest_asyncio
 
-from fuchsiatrack.model.objects import Caller, Limit
+from fuchsiatrack.model.objects import Caller, Limit, Service
 from fuchsiatrack.model.objectset import ObjectSet
 from fuchsiatrack_standins import journal
 from fuchsiatrack_standins.deployment import Deployment, Network
@@ -208,6 +208,26 @@
         assert digest.encode() in got.body
 
 
+class TestPublishing:
+    async def test_new_service_takes_nothing_from_the_others(self, running):
+        found = running.objects.servers("footage")[0]
+        service = Service("Service", "records")
+        address = found.address.replace(".2.", ".3.")
+        server = dataclasses.replace(
+            found, name="records-1", service="records", address=address, vm=""
+        )
+        reading = asyncio.create_task(self.read_for(running, 2.0))
+        await running.publish(ObjectSet((*running.objects.objects, service, server)))
+        assert set(await reading) == {"ran"}
+
+    async def read_for(self, running, seconds):
+        loop = asyncio.get_running_loop()
+        end, verdicts = loop.time() + seconds, []
+        while loop.time() < end:
+            verdicts.append((await send(running)).verdict)
+        return verdicts
+
+
 class TestGracefulStop:
     async def test_upload_in_flight_is_finished(self, running):
         async def body():
