Let the backend stand-in refuse requests beyond its connection limit

Cause: the stand-in took its connection limit as a flag and did not enforce it, so nothing would have shown a daemon that opened too many.

--- a/src/fuchsiatrack_standins/backend.py
+++ b/src/fuchsiatrack_standins/backend.py
@@ -12,6 +12,7 @@
 import secrets
 import signal
 import time
+from collections.abc import Callable
 from typing import Any
 
 from absl import app, flags
@@ -194,6 +195,7 @@
         self._breakpoint = Breakpoint()
         self._load_seen: list[tuple[int, int]] = [(0, 0)]
         self.faults = Faults()
+        self.count_connections: Callable[[], int] = lambda: 0
 
     def build(self) -> web.Application:
         """Return the web application."""
@@ -290,6 +292,9 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if self.faults.refuse:
             return _refuse("refused", 503)
+        if self.count_connections() > FLAGS.connections:
+            self._journal.write("crowded", connections=self.count_connections())
+            return _refuse("connections", 503)
         key = request.headers.get("Fuchsiatrack-Key", "")
         partition = request.headers.get("Fuchsiatrack-Partition", "")
         fence = int(request.headers.get("Fuchsiatrack-Fence", "0"))
@@ -397,8 +402,10 @@
 
 async def _serve_until_ended() -> None:
     # A caller that goes away cancels its request.
-    runner = web.AppRunner(Backend(FLAGS.name).build(), access_log=None, handler_cancellation=True)
+    backend = Backend(FLAGS.name)
+    runner = web.AppRunner(backend.build(), access_log=None, handler_cancellation=True)
     await runner.setup()
+    backend.count_connections = lambda: len(runner.server.connections)
     site = web.TCPSite(runner, FLAGS.address, FLAGS.port, backlog=512)
     await site.start()
     ended = asyncio.Event()
