--- a/src/fuchsiatrack/cli/client.py
+++ b/src/fuchsiatrack/cli/client.py
@@ -18,8 +18,9 @@
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.errors import PlatformUnavailable
 from fuchsiatrack.model.objectset import ObjectSet
-from fuchsiatrack.platform.log import HttpLog
-from fuchsiatrack.platform.vms import VM, HttpVMList
+from fuchsiatrack.peers.vmlist import VM
+from fuchsiatrack.plugins.httplog import HttpLog
+from fuchsiatrack.plugins.httpvmlist import HttpVMList
 
 CALL_TIMEOUT = 2_000
 LOG_WAIT = 500
--- a/src/fuchsiatrack/control/follower.py
+++ b/src/fuchsiatrack/control/follower.py
@@ -10,11 +10,11 @@
 
 from reactivex.subject import Subject
 
+from fuchsiatrack.control.appendlog import READ_GRACE, AppendLog, LogPage, LogRecord
 from fuchsiatrack.control.records import Record, RecordId, Snapshot, decode
 from fuchsiatrack.control.state import ReplayState
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import PlatformUnavailable, RecordsExpired
-from fuchsiatrack.platform.log import READ_GRACE, AppendLog, LogPage, LogRecord
 
 RETRY_PAUSE = 100
 
--- /dev/null
+++ b/src/fuchsiatrack/control/keyedlog.py
@@ -0,0 +1,184 @@
+"""Contract of a log service that keeps the newest record of each key for good."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Callable, Iterable
+
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import FuchsiatrackError, PlatformUnavailable, RecordsExpired
+
+# Length of a long poll, in milliseconds; the connection's keep-alive finds a silent peer sooner.
+POLL_WAIT = 20_000
+# Pause after a failed read, in milliseconds.
+RETRY_PAUSE = 200
+# A listing read within this time of a failed read may lack servers that are alive, in
+# milliseconds: they need about two seconds to list themselves again.
+OUTAGE_AFTERMATH = 2_500
+
+log = logging.getLogger(__name__)
+
+
+class ConditionFailed(FuchsiatrackError):
+    """An append named the end of the stream, and the stream ends elsewhere."""
+
+
+class Fenced(FuchsiatrackError):
+    """An append came from a writer that a later one has replaced."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Stream:
+    """One ordered sequence of records."""
+
+    topic: str
+    part: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyedRecord:
+    """The value of a key as of an offset; None when the key was dropped."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyedPage:
+    """Records with the offset that the next read starts from."""
+
+    records: tuple[KeyedRecord, ...]
+    next: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Writer:
+    """Identity of a writer; a greater `epoch` fences every smaller one of the same name."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class KeyedLog(abc.ABC):
+    """Streams of keyed records with conditional and fenced appends.
+
+    Each method raises PlatformUnavailable when the service did not answer in time.
+    """
+
+    @abc.abstractmethod
+    async def newest(self, stream: Stream) -> KeyedPage:
+        """Return the newest record of each key; `next` is the end before the first page."""
+
+    @abc.abstractmethod
+    async def read(self, stream: Stream, first: int, wait: int) -> KeyedPage:
+        """Return records from offset *first* on, waiting up to *wait* milliseconds for one.
+
+        Raises RecordsExpired when *first* is no longer held.
+        """
+
+    @abc.abstractmethod
+    async def append(
+        self,
+        stream: Stream,
+        records: Iterable[tuple[str, bytes]],
+        *,
+        at: int | None = None,
+        writer: Writer | None = None,
+    ) -> int:
+        """Append *records* as a whole and return the stream's new end.
+
+        With *at*, only when the stream ends there.  Raises ConditionFailed, Fenced or
+        AppendRefused when nothing was appended, and PlatformUnavailable when it may have been or
+        may still be.
+        """
+
+    async def close(self) -> None:
+        """Give back connections."""
+
+
+class StreamFollower:
+    """Keeps reading one stream; one task runs `run`.
+
+    *on_listing* gets all newest records, once at the start and again when records were missed;
+    *on_record* gets each later one.  Both also get whether the log service was away shortly
+    before.
+    """
+
+    def __init__(
+        self,
+        log_service: KeyedLog,
+        stream: Stream,
+        clock: Clock,
+        on_listing: Callable[[tuple[KeyedRecord, ...], bool], None],
+        on_record: Callable[[KeyedRecord, bool], None],
+    ) -> None:
+        self._log = log_service
+        self._stream = stream
+        self._clock = clock
+        self._on_listing = on_listing
+        self._on_record = on_record
+        self._failed_at: int | None = None
+        self._is_failing = False
+        self.next = 0
+        self.read_at = -1
+        self.caught_up = asyncio.Event()
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the latest read failed."""
+        return self._is_failing
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        must_list = True
+        while True:
+            try:
+                if must_list:
+                    await self._list()
+                    must_list = False
+                else:
+                    await self._read()
+            except RecordsExpired as error:
+                fields = {"topic": self._stream.topic, "next": self.next, "why": str(error)}
+                log.info("records were missed", extra=fields)
+                must_list = True
+            except PlatformUnavailable as error:
+                self._note_failure(error)
+                await self._clock.sleep(RETRY_PAUSE)
+
+    async def _list(self) -> None:
+        page = await self._log.newest(self._stream)
+        self._note_success()
+        self._on_listing(page.records, self._was_away())
+        self.next = page.next
+        self.caught_up.set()
+
+    async def _read(self) -> None:
+        # A failing service is asked without waiting, so that its return is seen at once.
+        wait = 0 if self._is_failing else POLL_WAIT
+        page = await self._log.read(self._stream, self.next, wait)
+        self._note_success()
+        for record in page.records:
+            self._on_record(record, self._was_away())
+        self.next = page.next
+
+    def _was_away(self) -> bool:
+        failed_at = self._failed_at
+        return failed_at is not None and self._clock.now() - failed_at < OUTAGE_AFTERMATH
+
+    def _note_failure(self, error: PlatformUnavailable) -> None:
+        self._failed_at = self._clock.now()
+        if not self._is_failing:
+            self._is_failing = True
+            log.warning("log lost", extra={"topic": self._stream.topic, "why": str(error)})
+
+    def _note_success(self) -> None:
+        self.read_at = self._clock.now()
+        if self._is_failing:
+            self._is_failing = False
+            log.warning("log regained", extra={"topic": self._stream.topic})
--- a/src/fuchsiatrack/control/writer.py
+++ b/src/fuchsiatrack/control/writer.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from fuchsiatrack.control.appendlog import AppendLog
 from fuchsiatrack.control.follower import Applied, Follower
 from fuchsiatrack.control.records import Record, RecordId, encode
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
-from fuchsiatrack.platform.log import AppendLog
 
 RESEND_PAUSE = 200
 READ_BACK_WAIT = 1_500
--- a/src/fuchsiatrack/daemon/context.py
+++ b/src/fuchsiatrack/daemon/context.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from fuchsiatrack.control.appendlog import AppendLog
 from fuchsiatrack.control.follower import Follower
 from fuchsiatrack.control.leadership import Leadership
 from fuchsiatrack.control.records import Daemon
@@ -19,7 +20,6 @@
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.settings import Settings
 from fuchsiatrack.peers.directory import PeerDirectory
-from fuchsiatrack.platform.log import AppendLog
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -25,7 +25,7 @@
 from fuchsiatrack.daemon.operator import OperatorServer
 from fuchsiatrack.daemon.peerservice import PeerService
 from fuchsiatrack.daemon.shard import Ownership, ServiceRuntime
-from fuchsiatrack.kernel import metrics, registry
+from fuchsiatrack.kernel import registry, statsdmetrics
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.settings import Settings
 from fuchsiatrack.model.objectset import ObjectSet
@@ -265,7 +265,7 @@
         settings=settings,
         me=me,
         clock=clock,
-        metrics=metrics.create(settings.statsd),
+        metrics=statsdmetrics.create(settings.statsd),
         log=registry.find("log", platform.log)(platform.log_url, timings.log_timeout),
         peers=PeerDirectory(me, vm_list, clock, timings.vm_poll),
         voter=Voter(clock, timings.support_lease),
--- /dev/null
+++ b/src/fuchsiatrack/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers that announce themselves, as the directory service lists them."""
--- /dev/null
+++ b/src/fuchsiatrack/directory/servers.py
@@ -0,0 +1,149 @@
+"""The backend servers that the directory service lists."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Iterable, Mapping
+
+from reactivex.subject import Subject
+
+from fuchsiatrack.kernel.clock import Clock
+
+# How long entries are kept that lapsed while the directory service was away, in milliseconds:
+# servers that are alive list themselves again within about two seconds of its return.
+RELIST_TIME = 2_200
+# Entries kept of servers that are gone, so that keys can still be taken back from them.
+FORMER_MAX = 200
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerLife:
+    """One run of a server's process; `born` is the Unix time of its start in milliseconds.
+
+    A server may start again under its old id; it then knows nothing of its earlier life.
+    """
+
+    server: str
+    born: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerEntry:
+    """What a backend server announces of itself; `cold` tells whether it is still warming up."""
+
+    life: ServerLife
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    leaving: bool
+    cold: bool
+
+    @property
+    def id(self) -> str:
+        """The server's id."""
+        return self.life.server
+
+
+class ServerDirectory:
+    """The listed servers by id.
+
+    `changed` emits the id of each server whose entry has changed.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[str, ServerEntry] = {}
+        self._by_service: dict[str, tuple[ServerEntry, ...]] = {}
+        self._lapsed: dict[str, int] = {}
+        self._former: dict[ServerLife, ServerEntry] = {}
+        self.changed: Subject[str] = Subject()
+
+    @property
+    def entries(self) -> Mapping[str, ServerEntry]:
+        """Every listed server by id."""
+        return self._entries
+
+    def find(self, server: str) -> ServerEntry | None:
+        """Return the entry of the server with id *server*."""
+        return self._entries.get(server)
+
+    def of_service(self, service: str) -> tuple[ServerEntry, ...]:
+        """Return the listed servers of *service*, by id."""
+        return self._by_service.get(service, ())
+
+    def last_known(self, life: ServerLife) -> ServerEntry | None:
+        """Return the latest entry of a server that is no longer listed."""
+        return self._former.get(life)
+
+    def put(self, entry: ServerEntry) -> None:
+        """Take in what a server announces."""
+        self._lapsed.pop(entry.id, None)
+        old = self._entries.get(entry.id)
+        if old == entry:
+            return
+        self._entries[entry.id] = entry
+        self._index({entry.service} | ({old.service} if old else set()))
+        fields = {
+            "server": entry.id,
+            "service": entry.service,
+            "address": entry.address,
+            "born": entry.life.born,
+            "leaving": entry.leaving,
+            "known_before": old is not None,
+        }
+        log.info("server listed", extra=fields)
+        self.changed.on_next(entry.id)
+
+    def remove(self, server: str, outage: bool) -> None:
+        """Take in that *server* is no longer listed.
+
+        An entry that lapsed during an *outage* of the directory service is kept for
+        `RELIST_TIME`, since the server may be alive.
+        """
+        if server not in self._entries:
+            return
+        if outage:
+            self._lapsed.setdefault(server, self._clock.now() + RELIST_TIME)
+            log.info("entry lapsed in an outage", extra={"server": server})
+            return
+        self._drop(server)
+
+    def replace(self, entries: Iterable[ServerEntry], outage: bool) -> None:
+        """Take in a whole listing."""
+        listed = {entry.id: entry for entry in entries}
+        for server in self._entries.keys() - listed.keys():
+            self.remove(server, outage)
+        for entry in listed.values():
+            self.put(entry)
+
+    def expire(self) -> None:
+        """Drop the entries that lapsed in an outage and have not come back."""
+        now = self._clock.now()
+        for server in [name for name, until in self._lapsed.items() if until <= now]:
+            self._drop(server)
+
+    def _drop(self, server: str) -> None:
+        self._lapsed.pop(server, None)
+        entry = self._entries.pop(server)
+        self._remember(entry)
+        self._index({entry.service})
+        log.info("server gone", extra={"server": server, "service": entry.service})
+        self.changed.on_next(server)
+
+    def _remember(self, entry: ServerEntry) -> None:
+        self._former[entry.life] = entry
+        if len(self._former) > FORMER_MAX:
+            del self._former[next(iter(self._former))]
+
+    def _index(self, services: set[str]) -> None:
+        for service in services:
+            self._by_service[service] = tuple(
+                sorted(
+                    (entry for entry in self._entries.values() if entry.service == service),
+                    key=lambda entry: entry.id,
+                )
+            )
--- /dev/null
+++ b/src/fuchsiatrack/gateway/choosers.py
@@ -0,0 +1,119 @@
+"""Which backend server gets a request."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import random
+
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
+from fuchsiatrack.gateway.serverstate import ServerStates
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.ranges.book import OwnershipBook
+from fuchsiatrack.routing.refusal import Reason, Refusal
+
+# Longest wait for a key that is between two owners, in milliseconds: a hand-over takes as long
+# as the requests that still run at the old owner.
+OWNER_WAIT = 600
+# When a caller may come back while a key has no owner, in milliseconds.
+OWNER_RETRY_AFTER = 300
+# Added to the expected time of a server in another failure domain, in milliseconds for each
+# kilobyte of the request's body, since traffic between failure domains is paid for.
+FOREIGN_COST_PER_KB = 0.4
+FOREIGN_COST = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """What a request needs of a server; `deadline` is a moment of the clock."""
+
+    service: str
+    key: int | None
+    body_size: int
+    deadline: int
+    avoid: frozenset[str] = frozenset()
+
+
+class ServerChooser(abc.ABC):
+    """Chooses among the listed servers of a service."""
+
+    @abc.abstractmethod
+    async def choose(self, wanted: Wanted) -> ServerEntry:
+        """Return the server for the next send; raise Refusal when there is none in time."""
+
+
+class BalancedChooser(ServerChooser):
+    """The server that should answer first, for services whose servers are alike."""
+
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        states: ServerStates,
+        failure_domain: str,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._states = states
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._rng = rng
+
+    async def choose(self, wanted: Wanted) -> ServerEntry:
+        listed = self._directory.of_service(wanted.service)
+        ready = [entry for entry in listed if not entry.leaving]
+        usable = [entry for entry in ready if entry.id not in wanted.avoid]
+        if not usable:
+            raise Refusal(Reason.NO_SERVER, retry_after=OWNER_RETRY_AFTER)
+        return min(usable, key=lambda entry: self._cost(entry, wanted))
+
+    def _cost(self, entry: ServerEntry, wanted: Wanted) -> float:
+        state = self._states.get(entry.id, entry.slots)
+        cost = state.expected_time(self._clock.now()) * (2.0 if entry.cold else 1.0)
+        if entry.failure_domain != self._failure_domain:
+            cost += FOREIGN_COST + FOREIGN_COST_PER_KB * wanted.body_size / 1_024
+        # Daemons that know the same would otherwise all choose the same server.
+        return cost * self._rng.uniform(0.85, 1.15)
+
+
+class OwnerChooser(ServerChooser):
+    """The owner of the request's key."""
+
+    def __init__(self, directory: ServerDirectory, book: OwnershipBook, clock: Clock) -> None:
+        self._directory = directory
+        self._book = book
+        self._clock = clock
+        self._changed = asyncio.Event()
+        book.changed.subscribe(lambda service: self._changed.set())
+        directory.changed.subscribe(lambda server: self._changed.set())
+
+    async def choose(self, wanted: Wanted) -> ServerEntry:
+        if wanted.key is None:
+            raise Refusal(Reason.NO_KEY)
+        limit = min(wanted.deadline, self._clock.now() + OWNER_WAIT)
+        while True:
+            entry = self._owner(wanted.service, wanted.key)
+            if entry is not None:
+                return entry
+            left = limit - self._clock.now()
+            if left <= 0:
+                raise Refusal(Reason.NO_OWNER, retry_after=OWNER_RETRY_AFTER)
+            await self._wait_for_change(left)
+
+    def _owner(self, service: str, key: int) -> ServerEntry | None:
+        owned = self._book.find(service).find(key)
+        if owned is None or owned.is_moving:
+            return None
+        entry = self._directory.find(owned.owner.server)
+        if entry is None or entry.life != owned.owner or entry.service != service:
+            return None
+        return entry
+
+    async def _wait_for_change(self, timeout: int) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(timeout / 1_000):
+                await self._changed.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -0,0 +1,258 @@
+"""One run of a gateway daemon: its parts, its start, its reloads and its graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import pathlib
+import random
+import secrets
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from fuchsiatrack.control.keyedlog import StreamFollower
+from fuchsiatrack.directory.servers import ServerDirectory
+from fuchsiatrack.gateway.adapter import PlatformAdapter
+from fuchsiatrack.gateway.choosers import BalancedChooser, OwnerChooser, ServerChooser
+from fuchsiatrack.gateway.forwarder import ForwarderParts
+from fuchsiatrack.gateway.gates import ServerGates
+from fuchsiatrack.gateway.listener import CallerListener, ReadinessListener
+from fuchsiatrack.gateway.metricspage import MetricsPage, TextMetrics
+from fuchsiatrack.gateway.rangeservice import RangeService
+from fuchsiatrack.gateway.retrybudget import BudgetTerms, SharedRetryBudget
+from fuchsiatrack.gateway.serverlink import LinkPool
+from fuchsiatrack.gateway.serverstate import ServerStates
+from fuchsiatrack.gateway.settings import GatewaySettings, SettingsError
+from fuchsiatrack.gateway.sources import ConfigurationHolder, DirectoryFeed
+from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.routing.refusal import Reason, Refusal
+
+# How long a stopping daemon goes on taking connections, in milliseconds: the balancer asks once
+# a second and needs two answers.
+LEAVE_TIME = 2_600
+# Part of the grace of a stop after which what is still open is cut off, in milliseconds before
+# the end.
+STOP_MARGIN = 400
+# Longest wait for the next part of a request's body, in milliseconds.
+BODY_IDLE_TIMEOUT = 10_000
+HOUSEKEEPING_PERIOD = 1_000
+
+log = logging.getLogger(__name__)
+
+
+class GatewayDaemon:
+    """Everything that one gateway daemon runs."""
+
+    def __init__(
+        self, adapter: PlatformAdapter, settings: GatewaySettings, settings_path: pathlib.Path
+    ) -> None:
+        self._adapter = adapter
+        self._settings = settings
+        self._settings_path = settings_path
+        self._settings_seen = _modified_at(settings_path)
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._stop = asyncio.Event()
+        self._links = LinkPool(self._clock)
+        self._control_links = LinkPool(self._clock)
+        self._states = ServerStates(self._clock)
+        self._gates = ServerGates(self._clock)
+        self._budgets: dict[str, SharedRetryBudget] = {}
+        self._log = adapter.open_log(settings)
+        self._configuration = ConfigurationHolder(adapter)
+        self._directory = ServerDirectory(self._clock)
+        self._metrics = TextMetrics()
+        self._ranges = RangeService(
+            settings,
+            secrets.token_hex(6),
+            self._log,
+            adapter.open_granter(self._control_links),
+            self._directory,
+            self._states,
+            self._clock,
+            self._rng,
+            self._can_lead,
+            self._keyed_services,
+        )
+        self._followers = self._create_followers()
+        self._choosers = self._create_choosers()
+        self._listener = CallerListener(self._create_parts(), self._metrics)
+        self._readiness = ReadinessListener(lambda: self.is_ready and not self._stop.is_set())
+        self._metrics_page = MetricsPage(self._metrics, self._gauges)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether configuration, servers and owners are known."""
+        table = self._configuration.table
+        if table is None or not self._followers["directory"].caught_up.is_set():
+            return False
+        return all(self._ranges.book.find(name).ranges for name in self._keyed_services())
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT has been obeyed."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._settings
+        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        await self._listener.start(settings.callers.host, settings.callers.port)
+        await self._metrics_page.start(settings.callers.host, settings.metrics_port)
+        await self._ranges.start()
+        log.info("daemon started", extra={"vm": settings.vm, "callers": str(settings.callers)})
+        jobs = [*(item.run() for item in self._followers.values()), *self._ranges.jobs()]
+        tasks = [asyncio.create_task(self._supervise(job)) for job in (*jobs, self._keep_house())]
+        await self._stop.wait()
+        await self._shut_down(tasks)
+
+    async def _supervise(self, job: Coroutine[Any, Any, None]) -> None:
+        try:
+            await job
+        except Exception:
+            log.exception("task failed; the daemon stops")
+            self._stop.set()
+
+    async def _shut_down(self, tasks: list[asyncio.Task]) -> None:
+        log.info("stop begins", extra={"in_flight": self._listener.in_flight})
+        started = self._clock.now()
+        self._listener.leave()
+        await self._ranges.resign()
+        await self._wait_for_callers(started + LEAVE_TIME)
+        left = started + self._settings.stop_grace - STOP_MARGIN - self._clock.now()
+        await self._listener.stop(max(left, 0))
+        for task in tasks:
+            task.cancel()
+        await self._readiness.stop()
+        await self._metrics_page.stop()
+        self._links.close()
+        self._control_links.close()
+        await self._log.close()
+        log.info("daemon stopped", extra={"took_ms": self._clock.now() - started})
+
+    async def _wait_for_callers(self, earliest: int) -> None:
+        """Go on serving until *earliest*, then while callers are connected and time is left."""
+        latest = earliest + max(0, self._settings.stop_grace - LEAVE_TIME - 2_000)
+        await self._clock.sleep_until(earliest)
+        while self._listener.connections and self._clock.now() < latest:
+            await self._clock.sleep(50)
+
+    # Parts
+
+    def _create_followers(self) -> dict[str, StreamFollower]:
+        feed = DirectoryFeed(self._adapter, self._directory)
+        holder = self._configuration
+        return {
+            "configuration": StreamFollower(
+                self._log,
+                self._adapter.configuration_stream,
+                self._clock,
+                holder.take_listing,
+                holder.take_record,
+            ),
+            "directory": StreamFollower(
+                self._log,
+                self._adapter.directory_stream,
+                self._clock,
+                feed.take_listing,
+                feed.take_record,
+            ),
+        }
+
+    def _create_choosers(self) -> dict[bool, ServerChooser]:
+        """Return the choosers of services that are keyed and of those that aren't."""
+        domain = self._settings.failure_domain
+        balanced = BalancedChooser(self._directory, self._states, domain, self._clock, self._rng)
+        return {
+            True: OwnerChooser(self._directory, self._ranges.book, self._clock),
+            False: balanced,
+        }
+
+    def _create_parts(self) -> ForwarderParts:
+        return ForwarderParts(
+            edge=self._adapter.edge,
+            clock=self._clock,
+            rng=self._rng,
+            links=self._links,
+            states=self._states,
+            gates=self._gates,
+            table=lambda: self._configuration.table,
+            is_ready=lambda: self.is_ready,
+            chooser=self._chooser,
+            budget=self._budget,
+            daemons=lambda: self._ranges.daemons,
+            note_key=self._ranges.note_key,
+            body_idle_timeout=BODY_IDLE_TIMEOUT,
+        )
+
+    def _chooser(self, service: str) -> ServerChooser:
+        table = self._configuration.table
+        if table is None or service not in table.services:
+            raise Refusal(Reason.NO_SERVER)
+        return self._choosers[table.services[service].keyed]
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            terms = BudgetTerms(settings.retry_ratio, settings.retry_fixed, settings.retry_window)
+            budget = self._budgets[service] = SharedRetryBudget(terms, self._clock)
+        return budget
+
+    def _keyed_services(self) -> tuple[str, ...]:
+        table = self._configuration.table
+        services = table.services.values() if table else ()
+        return tuple(item.name for item in services if item.keyed)
+
+    def _can_lead(self) -> bool:
+        known = all(item.caught_up.is_set() for item in self._followers.values())
+        return known and self._configuration.table is not None and not self._stop.is_set()
+
+    # Upkeep
+
+    def _reload(self) -> None:
+        """Read the settings file again; what can't be read leaves the settings as they are."""
+        self._settings_seen = _modified_at(self._settings_path)
+        try:
+            settings = self._adapter.load_settings(self._settings_path)
+        except SettingsError as error:
+            log.error("settings are kept", extra={"why": str(error)})
+            return
+        changed = settings != self._settings
+        self._settings = settings
+        if changed:
+            self._budgets.clear()
+        log.info("settings read again", extra={"changed": changed})
+
+    async def _keep_house(self) -> None:
+        while True:
+            await self._clock.sleep(HOUSEKEEPING_PERIOD)
+            if _modified_at(self._settings_path) != self._settings_seen:
+                self._reload()
+            self._directory.expire()
+            listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
+            self._links.sweep(listed)
+            self._gates.keep_only(frozenset(self._directory.entries))
+
+    def _gauges(self) -> dict[str, float]:
+        table = self._configuration.table
+        at_servers, waiting = self._gates.totals()
+        return {
+            "requests_at_servers": at_servers,
+            "requests_waiting": waiting,
+            "configuration_version": table.version if table else 0,
+            "servers_listed": len(self._directory.entries),
+            "callers_connected": self._listener.connections,
+            "requests_in_flight": self._listener.in_flight,
+            "server_connections_opened": self._links.opened,
+            "daemons_counted": self._ranges.daemons,
+            "leading": int(self._ranges.leadership.may_act()),
+        }
+
+
+def _modified_at(path: pathlib.Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log.warning("settings file can't be looked at", extra={"why": str(error)})
+        return 0
--- /dev/null
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -0,0 +1,127 @@
+"""The listeners for callers and for the balancer's readiness checks."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from aiohttp import web
+
+from fuchsiatrack.gateway.forwarder import Exchange, ForwarderParts, Outcome
+from fuchsiatrack.kernel.metrics import Metrics
+
+# Longest time that a caller's idle connection is kept, in seconds; callers close theirs earlier.
+KEEPALIVE_S = 75.0
+MAX_HEADER_BYTES = 16_384
+BACKLOG = 1_024
+
+log = logging.getLogger(__name__)
+
+
+class CallerListener:
+    """Takes requests from callers."""
+
+    def __init__(self, parts: ForwarderParts, metrics: Metrics) -> None:
+        self._parts = parts
+        self._metrics = metrics
+        self._stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._runner: web.ServerRunner | None = None
+        self._server: web.Server | None = None
+        self.in_flight = 0
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on *host* and *port*."""
+        self._server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=1.0,
+        )
+        self._runner = web.ServerRunner(self._server)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, backlog=BACKLOG).start()
+
+    @property
+    def connections(self) -> int:
+        """How many callers' connections are open."""
+        return len(self._server.connections) if self._server else 0
+
+    def leave(self) -> None:
+        """End each connection after its next answer."""
+        self._stopping = True
+
+    async def stop(self, timeout: int) -> None:
+        """Take no more connections; wait up to *timeout* ms for requests, and close."""
+        for site in tuple(self._runner.sites):
+            await site.stop()
+        try:
+            async with asyncio.timeout(timeout / 1_000):
+                await self._idle.wait()
+        except TimeoutError:
+            log.warning("requests are cut off", extra={"in_flight": self.in_flight})
+        # Answers that were just written are still on their way.
+        await asyncio.sleep(0.05)
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        self._idle.clear()
+        exchange = Exchange(request, self._parts)
+        try:
+            response = await exchange.run()
+        except asyncio.CancelledError:
+            log.info("caller left", extra={"request_id": exchange.outcome.request_id})
+            self._metrics.count("requests.left")
+            raise
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self._idle.set()
+        self._note(exchange.outcome)
+        if self._stopping:
+            response.force_close()
+        return response
+
+    def _note(self, outcome: Outcome) -> None:
+        self._metrics.count(f"requests.status.{outcome.status}")
+        self._metrics.time("requests.latency", outcome.elapsed)
+        fields = {
+            "request_id": outcome.request_id,
+            "route": outcome.route,
+            "service": outcome.service,
+            "server": outcome.server,
+            "key": outcome.key,
+            "sends": outcome.sends,
+            "status": outcome.status,
+            "reason": outcome.reason,
+            "verdict": outcome.verdict,
+            "elapsed_ms": outcome.elapsed,
+        }
+        log.info("request finished", extra=fields)
+
+
+class ReadinessListener:
+    """Answers every request with 200 while *is_ready*, else with 503."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on *host* and *port*."""
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
--- /dev/null
+++ b/src/fuchsiatrack/gateway/main.py
@@ -0,0 +1,51 @@
+"""Entry point of the gateway daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import pathlib
+import sys
+
+from absl import app, flags
+
+from fuchsiatrack.gateway.daemon import GatewayDaemon
+from fuchsiatrack.gateway.settings import SettingsError
+from fuchsiatrack.kernel import logs, registry
+
+EXIT_BAD_SETTINGS = 2
+SETTINGS_VARIABLE = "FUCHSIATRACK_SETTINGS"
+# Objects that are made before a young collection; the default costs more processor time.
+GC_THRESHOLD = 20_000
+
+_ADAPTER = flags.DEFINE_string("adapter", "platform", "Plug-in that speaks to the platform.")
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, f"File with the settings; by default what {SETTINGS_VARIABLE} names."
+)
+_LOG_LEVEL = flags.DEFINE_enum("log_level", "info", logs.LEVELS, "Least level that is logged.")
+
+
+def _main(argv: list[str]) -> int:
+    registry.load_plugins("fuchsiatrack.platform")
+    path = pathlib.Path(_SETTINGS.value or os.environ.get(SETTINGS_VARIABLE, ""))
+    adapter = registry.find("adapter", _ADAPTER.value)()
+    try:
+        settings = adapter.load_settings(path)
+    except SettingsError as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logs.configure(settings.vm, _LOG_LEVEL.value, bounded=True)
+    gc.set_threshold(GC_THRESHOLD)
+    gc.freeze()
+    asyncio.run(_serve(GatewayDaemon, adapter, settings, path))
+    return 0
+
+
+async def _serve(daemon_class: type[GatewayDaemon], adapter, settings, path) -> None:
+    await daemon_class(adapter, settings, path).run()
+
+
+def run() -> None:
+    """Run the daemon until it is stopped."""
+    app.run(_main)
--- /dev/null
+++ b/src/fuchsiatrack/gateway/metricspage.py
@@ -0,0 +1,90 @@
+"""Counters and latency histograms as a text page."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+from collections.abc import Callable
+
+from aiohttp import web
+
+from fuchsiatrack.kernel.metrics import Metrics
+
+# Upper bounds of the histograms' buckets, in milliseconds.
+BUCKETS = (5, 10, 20, 50, 100, 150, 200, 300, 400, 600, 800, 1_200, 2_000, 5_000)
+
+
+class Histogram:
+    """Counts of durations by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS) + 1)
+        self.total = 0.0
+
+    def add(self, duration: float) -> None:
+        """Count one *duration*, in milliseconds."""
+        self.counts[bisect.bisect_left(BUCKETS, duration)] += 1
+        self.total += duration
+
+
+class TextMetrics(Metrics):
+    """Keeps measurements in memory and renders them one a line."""
+
+    def __init__(self) -> None:
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    def count(self, name: str, by: int = 1) -> None:
+        self._counters[name] += by
+
+    def gauge(self, name: str, value: float) -> None:
+        self._gauges[name] = value
+
+    def time(self, name: str, duration: float) -> None:
+        self._histograms.setdefault(name, Histogram()).add(duration)
+
+    def render(self) -> str:
+        """Return all measurements as lines of a name and a value."""
+        lines = [f"{_metric(name)} {value}" for name, value in sorted(self._counters.items())]
+        lines += [f"{_metric(name)} {value}" for name, value in sorted(self._gauges.items())]
+        for name, histogram in sorted(self._histograms.items()):
+            lines += _render_histogram(_metric(name), histogram)
+        return "\n".join(lines) + "\n"
+
+
+class MetricsPage:
+    """Serves the metrics; *gauges* returns what is measured at the time of a request."""
+
+    def __init__(self, metrics: TextMetrics, gauges: Callable[[], dict[str, float]]) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on *host* and *port*."""
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        for name, value in self._gauges().items():
+            self._metrics.gauge(name, value)
+        return web.Response(text=self._metrics.render())
+
+
+def _metric(name: str) -> str:
+    return "fuchsiatrack_" + name.replace(".", "_").replace("-", "_")
+
+
+def _render_histogram(name: str, histogram: Histogram) -> list[str]:
+    lines = []
+    running = 0
+    for bound, count in zip((*BUCKETS, "+Inf"), histogram.counts, strict=True):
+        running += count
+        lines.append(f'{name}_ms_bucket{{le="{bound}"}} {running}')
+    return [*lines, f"{name}_ms_sum {histogram.total:.0f}", f"{name}_ms_count {running}"]
--- /dev/null
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -0,0 +1,217 @@
+"""Everything of a daemon that has to do with who owns which keys."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from fuchsiatrack.control.keyedlog import KeyedLog, StreamFollower
+from fuchsiatrack.directory.servers import ServerDirectory
+from fuchsiatrack.gateway.serverstate import ServerStates
+from fuchsiatrack.gateway.settings import GatewaySettings
+from fuchsiatrack.kernel import registry
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.peers.loadreports import (
+    REPORT_PERIOD,
+    LoadReport,
+    Members,
+    Reply,
+    ReportChannel,
+    ServerTimes,
+)
+from fuchsiatrack.ranges.book import OwnershipBook, map_key
+from fuchsiatrack.ranges.controller import RangeController
+from fuchsiatrack.ranges.granting import RangeGranter
+from fuchsiatrack.ranges.ownership import OwnershipMap
+from fuchsiatrack.ranges.planner import BalancedPlanner
+from fuchsiatrack.ranges.term import STATE_STREAM, Leadership, Term
+
+WATCH_PERIOD = 50
+PLANNER = "balanced"
+
+log = logging.getLogger(__name__)
+
+
+class RangeService:
+    """Follows ownership, reports load, and controls all keyed services while it leads."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        incarnation: str,
+        log_service: KeyedLog,
+        granter: RangeGranter,
+        directory: ServerDirectory,
+        states: ServerStates,
+        clock: Clock,
+        rng: random.Random,
+        can_lead: Callable[[], bool],
+        keyed_services: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._granter = granter
+        self._directory = directory
+        self._states = states
+        self._clock = clock
+        self._keyed_services = keyed_services
+        self._controllers: dict[str, RangeController] = {}
+        self._control: dict[str, asyncio.Task] = {}
+        self._controlled_term = 0
+        self._members = Members(clock)
+        self._counts: dict[str, collections.Counter[int]] = {}
+        self._channel = ReportChannel(self._take_report, self._take_reply)
+        self._daemons = settings.expected_daemons
+        me = Term(0, settings.vm, incarnation, str(settings.reports))
+        self.leadership = Leadership(
+            me, log_service, clock, rng, self._may_claim(can_lead), lambda: self._follower.next
+        )
+        self.book = OwnershipBook(self.leadership)
+        self._follower = StreamFollower(
+            log_service, STATE_STREAM, clock, self.book.take_listing, self.book.take_record
+        )
+
+    @property
+    def daemons(self) -> int:
+        """How many daemons share the limits of backend servers, as last counted by a leader."""
+        return self._daemons
+
+    def note_key(self, service: str, key: int) -> None:
+        """Count a request for *key*."""
+        self._counts.setdefault(service, collections.Counter())[key] += 1
+
+    async def start(self) -> None:
+        """Open the port for reports."""
+        loop = asyncio.get_running_loop()
+        address = (self._settings.reports.host, self._settings.reports.port)
+        await loop.create_datagram_endpoint(lambda: self._channel, local_addr=address)
+
+    def jobs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run."""
+        return [self._follower.run(), self.leadership.run(), self._report(), self._lead()]
+
+    async def resign(self) -> None:
+        """Give up leadership, if held, so that another daemon takes over at once."""
+        if not self.leadership.is_mine:
+            return
+        self._stop_control()
+        try:
+            async with asyncio.timeout(1.0):
+                await self.leadership.resign()
+        except TimeoutError:
+            log.warning("term could not be resigned")
+
+    def _may_claim(self, can_lead: Callable[[], bool]) -> Callable[[], bool]:
+        return lambda: can_lead() and self._follower.caught_up.is_set()
+
+    # Control
+
+    async def _lead(self) -> None:
+        """Run one controller for each keyed service while this daemon leads."""
+        while True:
+            if self.leadership.may_act():
+                self._start_control()
+            elif not self.leadership.is_mine:
+                self._stop_control()
+            await self._clock.sleep(WATCH_PERIOD)
+
+    def _start_control(self) -> None:
+        term = self.leadership.current.number
+        if term != self._controlled_term:
+            self._stop_control()
+            self._controlled_term = term
+        for service in self._keyed_services():
+            if service not in self._control:
+                controller = self._create_controller(service)
+                self._controllers[service] = controller
+                self._control[service] = asyncio.create_task(self._control_service(controller))
+
+    async def _control_service(self, controller: RangeController) -> None:
+        try:
+            await controller.run()
+        except Exception:
+            log.exception("control failed; the term is given up")
+            await self.leadership.resign()
+
+    def _stop_control(self) -> None:
+        for task in self._control.values():
+            task.cancel()
+        self._control.clear()
+        self._controllers.clear()
+        self._controlled_term = 0
+
+    def _create_controller(self, service: str) -> RangeController:
+        async def save(ownership: OwnershipMap) -> None:
+            await self.leadership.append(map_key(service), ownership.encode())
+
+        planner: type[BalancedPlanner] = registry.find("range_planner", PLANNER)
+        return RangeController(
+            service,
+            self.leadership,
+            self._directory,
+            self._granter,
+            planner(),
+            self._clock,
+            self._settings.max_hold,
+            self.book.find(service),
+            save,
+        )
+
+    # Reports
+
+    async def _report(self) -> None:
+        """Send this daemon's counts to the leader."""
+        while True:
+            await self._clock.sleep(REPORT_PERIOD)
+            term = self.leadership.current
+            if not term.report_address or term.resigned:
+                continue
+            for report in self._create_reports(term.number):
+                if term.incarnation == self._incarnation:
+                    self._take_reply_of(self._take_report(report))
+                else:
+                    self._channel.send(report, term.report_address)
+
+    def _create_reports(self, term: int) -> list[LoadReport]:
+        counts, self._counts = self._counts, {}
+        times = {
+            name: ServerTimes(samples, round(mean, 2))
+            for name, (samples, mean) in self._states.take_times().items()
+        }
+        vm, incarnation = self._settings.vm, self._incarnation
+        reports = []
+        for service in self._keyed_services():
+            listed = {entry.id for entry in self._directory.of_service(service)}
+            own = {name: row for name, row in times.items() if name in listed}
+            keys = dict(counts.get(service, {}))
+            reports.append(LoadReport(vm, incarnation, term, service, keys, own))
+        return reports or [LoadReport(vm, incarnation, term)]
+
+    def _take_report(self, report: LoadReport) -> Reply | None:
+        if not self.leadership.may_act() or report.term != self.leadership.current.number:
+            return None
+        self._members.note(report.vm)
+        controller = self._controllers.get(report.service)
+        if controller is not None:
+            controller.load.add(report.keys)
+            for server, row in report.servers.items():
+                controller.times.add(server, row.samples, row.mean)
+        return Reply(report.term, self._members.count)
+
+    def _take_reply_of(self, reply: Reply | None) -> None:
+        if reply is not None:
+            self._take_reply(reply)
+
+    def _take_reply(self, reply: Reply) -> None:
+        self.leadership.hear_leader(reply.term)
+        # A leader that has just begun has not heard of every daemon yet.
+        settled = self._clock.now() - self._leader_since() > 2 * REPORT_PERIOD
+        if settled:
+            self._daemons = max(1, reply.daemons)
+
+    def _leader_since(self) -> int:
+        return self.leadership.changed_at
--- /dev/null
+++ b/src/fuchsiatrack/gateway/retrybudget.py
@@ -0,0 +1,65 @@
+"""How many further sends this daemon may make, so that all daemons keep one limit together."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from fuchsiatrack.kernel.clock import Clock
+
+# Part of the allowed ratio that is used; the rest covers sends that arrive in another window.
+RATIO_MARGIN = 0.8
+# Part of the fixed allowance that all daemons use together.
+FIXED_MARGIN = 0.7
+BUCKET = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class BudgetTerms:
+    """Further sends allowed in any *window* ms: *ratio* x requests + *fixed*, over all daemons."""
+
+    ratio: float
+    fixed: float
+    window: int
+
+
+class SharedRetryBudget:
+    """This daemon's part of the budget of one service.
+
+    The ratio holds for each daemon's own requests, so that the sum holds too; the fixed part is
+    divided by the number of daemons.
+    """
+
+    def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
+        self._terms = terms
+        self._clock = clock
+        self._requests: collections.deque[list[int]] = collections.deque()
+        self._resends: collections.deque[list[int]] = collections.deque()
+
+    def note_request(self) -> None:
+        """Count a caller's request."""
+        self._add(self._requests)
+
+    def take(self, daemons: int) -> bool:
+        """Take leave for one more send, with *daemons* sharing; False when there is none."""
+        terms = self._terms
+        allowed = terms.ratio * RATIO_MARGIN * self._sum(
+            self._requests
+        ) + terms.fixed * FIXED_MARGIN / max(1, daemons)
+        if self._sum(self._resends) + 1 > allowed:
+            return False
+        self._add(self._resends)
+        return True
+
+    def _add(self, buckets: collections.deque[list[int]]) -> None:
+        start = self._clock.now() // BUCKET * BUCKET
+        if buckets and buckets[-1][0] == start:
+            buckets[-1][1] += 1
+        else:
+            buckets.append([start, 1])
+
+    def _sum(self, buckets: collections.deque[list[int]]) -> int:
+        limit = self._clock.now() - self._terms.window
+        while buckets and buckets[0][0] < limit:
+            buckets.popleft()
+        return sum(count for _, count in buckets)
--- /dev/null
+++ b/src/fuchsiatrack/gateway/serverlink.py
@@ -0,0 +1,352 @@
+"""Connections to backend servers, one request at a time on each.
+
+The codec is aiohttp's response parser; the connection is our own, because a router has to know
+whether any byte of a request was sent, whether bytes came that nobody asked for, and whether an
+answer without a length ended with its connection or with a reset.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+from collections.abc import AsyncIterator
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.streams import StreamReader
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.verdict import Verdict
+
+# Longest wait for a new connection, in milliseconds: many round trips inside a region, and short
+# enough to try another server.
+CONNECT_TIMEOUT = 400
+# Time after which unacknowledged bytes break a connection, in milliseconds.
+UNACKNOWLEDGED_MAX = 2_500
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Idle connections older than this are closed instead of used again, in milliseconds.
+IDLE_MAX = 8_000
+# Margin before the end that a server announces for idle connections, in milliseconds.
+IDLE_MARGIN = 1_000
+# Largest head of an answer, in bytes.
+MAX_HEAD_BYTES = 65_536
+READ_BUFFER_BYTES = 262_144
+
+
+class ConnectFailed(Exception):
+    """No connection was had, so that nothing was sent."""
+
+
+class ExchangeFailed(Exception):
+    """An exchange ended without a whole answer."""
+
+    def __init__(self, why: str, verdict: Verdict) -> None:
+        super().__init__(why)
+        self.verdict = verdict
+
+
+@dataclasses.dataclass(frozen=True)
+class OutgoingRequest:
+    """A request as it is written; `body` is sent with its length, or in chunks as it comes."""
+
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes | AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerAnswer:
+    """A whole answer."""
+
+    status: int
+    reason: str
+    headers: CIMultiDictProxy[str]
+    body: bytes
+
+
+class ServerLink(BaseProtocol):
+    """One connection to a backend server."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head: asyncio.Future[tuple[RawResponseMessage, StreamReader]] | None = None
+        self._payload: StreamReader | None = None
+        self._error: Exception | None = None
+        self._is_spoilt = False
+        self.is_reused = False
+        self.idle_since = 0
+        self.idle_limit = IDLE_MAX
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return (
+            self.transport is not None and not self._is_spoilt and not self.transport.is_closing()
+        )
+
+    def abort(self) -> None:
+        """Break the connection, which also ends the request's work at the server."""
+        self._is_spoilt = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def exchange(self, request: OutgoingRequest) -> ServerAnswer:
+        """Send *request* and return the whole answer; raise ExchangeFailed."""
+        if not self.is_usable:
+            raise ExchangeFailed("connection closed before the request", Verdict.NOT_RUN)
+        self._head = self._loop.create_future()
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            response_with_body=request.method != "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+        try:
+            return await self._exchange(request)
+        except BaseException:
+            self.abort()
+            raise
+        finally:
+            self._head = None
+
+    async def _exchange(self, request: OutgoingRequest) -> ServerAnswer:
+        sender = await self._send(request)
+        try:
+            message, payload = await self._head
+            body = await payload.read()
+        except (OSError, HttpProcessingError, EOFError) as error:
+            raise ExchangeFailed(f"answer broke off: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        except Exception as error:
+            # The reader raises what the parser or the connection left on it.
+            raise ExchangeFailed(f"answer is broken: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        finally:
+            if sender is not None and not sender.done():
+                # The server answered before it had the whole body.
+                sender.cancel()
+                self._is_spoilt = True
+        if not payload.is_eof() or self._error is not None:
+            raise ExchangeFailed(f"answer broke off: {self._error!r}", Verdict.MAY_HAVE_RUN)
+        self._settle(message)
+        return ServerAnswer(message.code, message.reason or "", message.headers, body)
+
+    def _settle(self, message: RawResponseMessage) -> None:
+        """Decide whether the connection can be used again."""
+        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        if message.should_close or unsent:
+            self._is_spoilt = True
+        limit = _idle_limit(message.headers)
+        if limit <= 0:
+            self._is_spoilt = True
+        self.idle_limit = limit
+        self._parser = None
+        if not self.is_usable:
+            self.abort()
+
+    async def _send(self, request: OutgoingRequest) -> asyncio.Task | None:
+        """Write the request; return the task that still writes a body of unknown size."""
+        if isinstance(request.body, bytes):
+            self.transport.write(_encode_head(request, len(request.body)) + request.body)
+            return None
+        self.transport.write(_encode_head(request, None))
+        return asyncio.create_task(self._send_chunks(request.body))
+
+    async def _send_chunks(self, body: AsyncIterator[bytes]) -> None:
+        try:
+            async for part in body:
+                if self.transport is None:
+                    return
+                self.transport.write(b"%x\r\n%b\r\n" % (len(part), part))
+                await self._wait_until_writable()
+            if self.transport is not None:
+                self.transport.write(b"0\r\n\r\n")
+        except Exception as error:
+            # The caller's side failed; without the rest of the body the server can't finish.
+            self._fail(error)
+            self.abort()
+
+    async def _wait_until_writable(self) -> None:
+        while self.writing_paused and self.transport is not None:
+            if self._drain_waiter is None:
+                self._drain_waiter = self._loop.create_future()
+            await asyncio.shield(self._drain_waiter)
+
+    # Protocol
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None or self._head is None:
+            if data:
+                # Nobody has asked for these bytes.
+                self.abort()
+            return
+        try:
+            messages, _, tail = self._parser.feed_data(data)
+        except HttpProcessingError as error:
+            self._fail(error)
+            self.abort()
+            return
+        for message, payload in messages:
+            self._take_message(message, payload)
+        if tail:
+            self._is_spoilt = True
+
+    def _take_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
+        if 100 <= message.code < 200:
+            return
+        if self._payload is not None or self._head is None or self._head.done():
+            # More than one answer to one request.
+            self._is_spoilt = True
+            return
+        self._payload = payload
+        self._head.set_result((message, payload))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is None and self._parser is not None:
+            # The end of the connection is the end of an answer without a length.
+            try:
+                self._parser.feed_eof()
+            except Exception as error:
+                self._fail(error)
+        elif exc is not None:
+            self._fail(exc if isinstance(exc, Exception) else ConnectionResetError(str(exc)))
+        if self._head is not None and not self._head.done():
+            self._fail(ConnectionResetError("closed before an answer"))
+        self._is_spoilt = True
+        super().connection_lost(exc)
+
+    def _fail(self, error: Exception) -> None:
+        self._error = self._error or error
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+        elif self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+
+    def begin_reuse(self) -> None:
+        """Prepare for another request."""
+        self.is_reused = True
+        self._payload = None
+
+
+class LinkPool:
+    """Idle connections by server and address; the latest used is the first to be used again."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[tuple[str, str], list[ServerLink]] = {}
+        self.opened = 0
+
+    async def take(self, server: str, address: str, idle_max: int) -> ServerLink:
+        """Return a connection that was idle for at most *idle_max* ms, or else a new one.
+
+        Raises ConnectFailed.
+        """
+        found = self._take_idle((server, address), idle_max)
+        if found is not None:
+            found.begin_reuse()
+            return found
+        return await self._open(address)
+
+    def give_back(self, server: str, address: str, link: ServerLink) -> None:
+        """Keep *link* for another request if it can carry one."""
+        if not link.is_usable:
+            link.abort()
+            return
+        link.idle_since = self._clock.now()
+        self._idle.setdefault((server, address), []).append(link)
+
+    def make_room(self, server: str, address: str, most: int) -> None:
+        """Close idle connections of the server, the oldest first, until *most* are left."""
+        links = self._idle.get((server, address), [])
+        while len(links) > max(most, 0):
+            links.pop(0).abort()
+
+    def sweep(self, listed: frozenset[tuple[str, str]]) -> None:
+        """Close connections that were idle too long, or whose server is not in *listed*."""
+        now = self._clock.now()
+        for key, links in list(self._idle.items()):
+            kept = [link for link in links if key in listed and _is_fresh(link, now, IDLE_MAX)]
+            for link in links:
+                if link not in kept:
+                    link.abort()
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+    def idle_count(self, server: str, address: str) -> int:
+        """Return how many connections to the server wait to be used again."""
+        return len(self._idle.get((server, address), ()))
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for link in (link for links in self._idle.values() for link in links):
+            link.abort()
+        self._idle.clear()
+
+    def _take_idle(self, key: tuple[str, str], idle_max: int) -> ServerLink | None:
+        links, now = self._idle.get(key, []), self._clock.now()
+        while links and idle_max > 0:
+            link = links.pop()
+            if _is_fresh(link, now, idle_max):
+                return link
+            if link.is_usable and _is_fresh(link, now, IDLE_MAX):
+                # Too old for this request only; the ones below are older still.
+                links.append(link)
+                return None
+            link.abort()
+        return None
+
+    async def _open(self, address: str) -> ServerLink:
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT / 1_000):
+                transport, link = await loop.create_connection(
+                    lambda: ServerLink(loop), host, int(port)
+                )
+        except (TimeoutError, OSError, ValueError) as error:
+            raise ConnectFailed(f"{address}: {error!r}") from error
+        set_keepalive(transport.get_extra_info("socket"))
+        return link
+
+
+def set_keepalive(sock: socket.socket) -> None:
+    """Let the kernel find a peer that has gone silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX)
+
+
+def _is_fresh(link: ServerLink, now: int, idle_max: int) -> bool:
+    return link.is_usable and now - link.idle_since < min(idle_max, link.idle_limit)
+
+
+def _idle_limit(headers: CIMultiDictProxy[str]) -> int:
+    """Return how long the server keeps the idle connection, in ms, less a margin."""
+    for item in headers.get("Keep-Alive", "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(IDLE_MAX, int(value) * 1_000 - IDLE_MARGIN)
+    return IDLE_MAX
+
+
+def _encode_head(request: OutgoingRequest, length: int | None) -> bytes:
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers.items()]
+    if length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif length or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("utf-8", "surrogateescape")
--- /dev/null
+++ b/src/fuchsiatrack/gateway/sources.py
@@ -0,0 +1,87 @@
+"""The configuration in force and the listed servers, kept up to date from the log."""
+
+from __future__ import annotations
+
+import logging
+
+from reactivex.subject import Subject
+
+from fuchsiatrack.control.keyedlog import KeyedRecord
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
+from fuchsiatrack.gateway.adapter import PlatformAdapter
+from fuchsiatrack.model.routes import RouteTable
+
+log = logging.getLogger(__name__)
+
+
+class ConfigurationHolder:
+    """The newest configuration; an older one never replaces it.
+
+    `changed` emits each one that comes into force.
+    """
+
+    def __init__(self, adapter: PlatformAdapter) -> None:
+        self._adapter = adapter
+        self._table: RouteTable | None = None
+        self.changed: Subject[RouteTable] = Subject()
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force, None before the first one."""
+        return self._table
+
+    def take_listing(self, records: tuple[KeyedRecord, ...], was_away: bool) -> None:
+        """Take in the newest records."""
+        for record in records:
+            self.take_record(record, was_away)
+
+    def take_record(self, record: KeyedRecord, was_away: bool) -> None:
+        """Take in one record."""
+        if record.value is None:
+            return
+        try:
+            table = self._adapter.decode_configuration(record)
+        except ValueError as error:
+            fields = {"offset": record.offset, "why": str(error)}
+            log.warning("configuration is passed over", extra=fields)
+            return
+        if table is None:
+            return
+        if self._table is not None and table.version <= self._table.version:
+            fields = {"version": table.version, "in_force": self._table.version}
+            log.info("older configuration is passed over", extra=fields)
+            return
+        self._table = table
+        fields = {"version": table.version, "offset": record.offset, "routes": len(table.routes)}
+        log.info("configuration in force", extra=fields)
+        self.changed.on_next(table)
+
+
+class DirectoryFeed:
+    """Brings what servers say of themselves into the directory."""
+
+    def __init__(self, adapter: PlatformAdapter, directory: ServerDirectory) -> None:
+        self._adapter = adapter
+        self._directory = directory
+
+    def take_listing(self, records: tuple[KeyedRecord, ...], was_away: bool) -> None:
+        """Take in all newest records."""
+        decoded = [self._decode(record) for record in records if record.value is not None]
+        self._directory.replace((entry for entry in decoded if entry), was_away)
+
+    def take_record(self, record: KeyedRecord, was_away: bool) -> None:
+        """Take in one record."""
+        if record.value is None:
+            self._directory.remove(record.key, was_away)
+            return
+        entry = self._decode(record)
+        if entry is not None:
+            self._directory.put(entry)
+
+    def _decode(self, record: KeyedRecord) -> ServerEntry | None:
+        try:
+            return self._adapter.decode_server(record)
+        except ValueError as error:
+            fields = {"key": record.key, "offset": record.offset, "why": str(error)}
+            log.warning("entry is passed over", extra=fields)
+            return None
--- a/src/fuchsiatrack/peers/directory.py
+++ b/src/fuchsiatrack/peers/directory.py
@@ -14,7 +14,7 @@
 from fuchsiatrack.kernel.errors import PlatformUnavailable
 from fuchsiatrack.peers.peers_grpc import PeersStub
 from fuchsiatrack.peers.peers_pb2 import PingRequest
-from fuchsiatrack.platform.vms import VM, VMList, VMSnapshot, VMState
+from fuchsiatrack.peers.vmlist import VM, VMList, VMSnapshot, VMState
 
 # Peers that a daemon pings, however many daemons there are.
 MAX_PEERS = 8
--- a/src/fuchsiatrack/platform/__init__.py
+++ b/src/fuchsiatrack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's services: the append-only log and the list of VMs."""
+"""Translation between the users' platform and the product: names, encodings, calls."""
--- /dev/null
+++ b/src/fuchsiatrack/platform/edge.py
@@ -0,0 +1,90 @@
+"""Names of the headers between clients, this system and instances."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from fuchsiatrack.gateway.edge import (
+    AnswerTerms,
+    BadRequest,
+    CallTerms,
+    Edge,
+    ReportedLoad,
+    strip_hop_by_hop,
+)
+
+REQUEST_ID = "X-Request-Id"
+# Milliseconds that the sender still waits; a duration, not a moment.
+DEADLINE = "X-Deadline-Ms"
+KEY = "X-Shard-Key"
+EXPECTED_SERVER = "X-Expect-Instance"
+# Signature of the instance that ran the request.
+STAMP = "X-Gateway-Stamp"
+NOT_RUN = "X-Not-Executed"
+# Running requests, waiting requests and slots, separated by commas.
+LOAD = "X-Instance-Load"
+WRONG_SERVER_STATUS = 421
+LAST_KEY = 65_535
+
+
+class PlatformEdge(Edge):
+    """The headers that the platform's clients and instances use."""
+
+    def read_request(self, headers: Mapping[str, str]) -> CallTerms:
+        request_id = headers.get(REQUEST_ID, "")
+        if not request_id:
+            raise BadRequest(f"{REQUEST_ID}: missing")
+        return CallTerms(request_id, _number(headers, DEADLINE), _key(headers))
+
+    def request_headers(
+        self, received: CIMultiDictProxy[str], time_left: int, server: str
+    ) -> CIMultiDict[str]:
+        headers = strip_hop_by_hop(received)
+        headers[DEADLINE] = str(time_left)
+        headers[EXPECTED_SERVER] = server
+        return headers
+
+    def read_answer(self, status: int, headers: CIMultiDictProxy[str]) -> AnswerTerms:
+        wrong_server = status == WRONG_SERVER_STATUS
+        return AnswerTerms(
+            request_id=headers.get(REQUEST_ID, ""),
+            is_genuine=STAMP in headers and "Content-Encoding" not in headers,
+            not_run=NOT_RUN in headers or wrong_server,
+            wrong_server=wrong_server,
+            load=_load(headers.get(LOAD, "")),
+        )
+
+    def answer_headers(self, received: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+        return strip_hop_by_hop(received)
+
+    def refusal_headers(self, request_id: str, retry_after: int) -> dict[str, str]:
+        headers = {REQUEST_ID: request_id} if request_id else {}
+        if retry_after:
+            headers["Retry-After"] = f"{retry_after / 1_000:.3f}"
+        return headers
+
+
+def _number(headers: Mapping[str, str], name: str) -> int | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise BadRequest(f"{name}: expected a whole number (got {text[:40]!r})")
+    return int(text)
+
+
+def _key(headers: Mapping[str, str]) -> int | None:
+    key = _number(headers, KEY)
+    if key is not None and key > LAST_KEY:
+        raise BadRequest(f"{KEY}: expected at most {LAST_KEY} (got {key})")
+    return key
+
+
+def _load(text: str) -> ReportedLoad | None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return ReportedLoad(running, waiting, slots)
--- /dev/null
+++ b/src/fuchsiatrack/platform/grants.py
@@ -0,0 +1,85 @@
+"""The calls by which instances are given keys and give them back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from multidict import CIMultiDict
+
+from fuchsiatrack.gateway.serverlink import (
+    ConnectFailed,
+    ExchangeFailed,
+    LinkPool,
+    OutgoingRequest,
+    ServerAnswer,
+)
+from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.ranges.granting import (
+    GrantRefused,
+    NoAnswer,
+    NotDelivered,
+    RangeGrant,
+    RangeGranter,
+)
+
+GRANT_PATH = "/-/grant"
+RELEASE_PATH = "/-/release"
+HANDOVER = "X-Handover"
+# Kept connections older than this are opened anew, in milliseconds; instances close idle ones
+# after a time that they announce.
+IDLE_MAX = 4_000
+
+
+class InstanceGranter(RangeGranter):
+    """Sends grants and releases on kept connections."""
+
+    def __init__(self, links: LinkPool) -> None:
+        self._links = links
+
+    async def grant(self, address: str, grant: RangeGrant, timeout: int) -> None:
+        body = {
+            "From": grant.first,
+            "Target": grant.last,  # the last key, inclusive
+            "fence": grant.fence,
+            "Hold": f"{grant.hold}ms",
+        }
+        if grant.handover:
+            body["Handover"] = grant.handover
+        answer = await self._post(address, GRANT_PATH, body, timeout)
+        if answer.status == 409:
+            raise GrantRefused(f"{address}: greater fence than {grant.fence} seen")
+        if answer.status != 200:
+            raise NoAnswer(f"{address}: grant answered {answer.status}")
+
+    async def release(self, address: str, first: int, last: int, fence: int, timeout: int) -> str:
+        body = {"From": first, "Target": last, "fence": fence}
+        answer = await self._post(address, RELEASE_PATH, body, timeout)
+        if answer.status != 200:
+            raise NoAnswer(f"{address}: release answered {answer.status}")
+        return answer.headers.get(HANDOVER, "")
+
+    async def can_reach(self, address: str, timeout: int) -> bool:
+        try:
+            link = await self._links.take(address, address, 0)
+        except ConnectFailed:
+            return False
+        self._links.give_back(address, address, link)
+        return True
+
+    async def _post(self, address: str, path: str, body: dict, timeout: int) -> ServerAnswer:
+        headers = CIMultiDict({"Host": address, "Content-Type": "application/json"})
+        outgoing = OutgoingRequest("POST", path, headers, json.dumps(body).encode())
+        try:
+            async with asyncio.timeout(timeout / 1_000):
+                link = await self._links.take(address, address, IDLE_MAX)
+                answer = await link.exchange(outgoing)
+        except ConnectFailed as error:
+            raise NotDelivered(str(error)) from error
+        except ExchangeFailed as error:
+            known = error.verdict is Verdict.NOT_RUN
+            raise (NotDelivered if known else NoAnswer)(f"{address}: {error}") from error
+        except TimeoutError as error:
+            raise NoAnswer(f"{address}: no answer in {timeout} ms") from error
+        self._links.give_back(address, address, link)
+        return answer
--- a/src/fuchsiatrack/platform/log.py
+++ b/src/fuchsiatrack/plugins/httplog.py
@@ -1,60 +1,18 @@
-"""The append-only log service: contract and the HTTP plug-in."""
+"""The append-only log service over HTTP."""
 
 from __future__ import annotations
 
-import abc
-import dataclasses
 import json
 
 import aiohttp
 
+from fuchsiatrack.control.appendlog import READ_GRACE, AppendLog, LogPage, LogRecord
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable, RecordsExpired
 from fuchsiatrack.kernel.registry import register
 
-# Longest time to wait beyond a long poll's own wait before the call counts as failed.
-READ_GRACE = 1_500
 PAGE_RECORDS = 1_000
 
 
-@dataclasses.dataclass(frozen=True)
-class LogRecord:
-    """One record of a stream; offsets start at 1."""
-
-    offset: int
-    data: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class LogPage:
-    """Records in order of offset; `next` is the first offset after the stream's head."""
-
-    records: tuple[LogRecord, ...]
-    next: int
-
-
-class AppendLog(abc.ABC):
-    """Streams of records, kept for a limited time."""
-
-    @abc.abstractmethod
-    async def append(self, stream: str, data: bytes) -> int:
-        """Append *data* and return its offset.
-
-        Raises AppendRefused when the append certainly had no effect, and PlatformUnavailable
-        when it may have had one, now or later.
-        """
-
-    @abc.abstractmethod
-    async def read(self, stream: str, first: int, wait: int = 0) -> LogPage:
-        """Return records from offset *first* on, waiting up to *wait* milliseconds for one.
-
-        Raises RecordsExpired when *first* is older than the retention, PlatformUnavailable when
-        the log does not answer.
-        """
-
-    async def close(self) -> None:
-        """Give back connections."""
-
-
 @register("log", "http")
 class HttpLog(AppendLog):
     """The log service over HTTP; times in milliseconds."""
--- /dev/null
+++ b/src/fuchsiatrack/ranges/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of numeric key ranges: who leads, who owns what, and how ranges move."""
--- /dev/null
+++ b/src/fuchsiatrack/ranges/book.py
@@ -0,0 +1,54 @@
+"""The ownership maps of all keyed services, as the log shows them."""
+
+from __future__ import annotations
+
+import logging
+
+from reactivex.subject import Subject
+
+from fuchsiatrack.control.keyedlog import KeyedRecord
+from fuchsiatrack.ranges.ownership import OwnershipMap
+from fuchsiatrack.ranges.term import TERM_KEY, Leadership
+
+MAP_PREFIX = "map/"
+
+log = logging.getLogger(__name__)
+
+
+class OwnershipBook:
+    """Takes in the state stream; `changed` emits the name of each service with a new map."""
+
+    def __init__(self, leadership: Leadership) -> None:
+        self._leadership = leadership
+        self._maps: dict[str, OwnershipMap] = {}
+        self.changed: Subject[str] = Subject()
+
+    def find(self, service: str) -> OwnershipMap:
+        """Return the map of *service*, an empty one when nothing is assigned."""
+        return self._maps.get(service, OwnershipMap())
+
+    def take_listing(self, records: tuple[KeyedRecord, ...], was_away: bool) -> None:
+        """Take in the newest record of each key."""
+        for record in records:
+            self.take_record(record, was_away)
+
+    def take_record(self, record: KeyedRecord, was_away: bool) -> None:
+        """Take in one record."""
+        if record.key == TERM_KEY:
+            self._leadership.observe(record.value)
+        elif record.key.startswith(MAP_PREFIX) and record.value is not None:
+            self._take_map(record.key.removeprefix(MAP_PREFIX), record.value)
+
+    def _take_map(self, service: str, value: bytes) -> None:
+        try:
+            ownership = OwnershipMap.decode(value)
+        except ValueError as error:
+            log.error("ownership can't be read", extra={"service": service, "why": str(error)})
+            return
+        self._maps[service] = ownership
+        self.changed.on_next(service)
+
+
+def map_key(service: str) -> str:
+    """Return the log key of the map of *service*."""
+    return MAP_PREFIX + service
--- /dev/null
+++ b/src/fuchsiatrack/ranges/granting.py
@@ -0,0 +1,53 @@
+"""Contract of giving key ranges to backend servers and taking them back."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+
+from fuchsiatrack.kernel.errors import FuchsiatrackError
+
+
+class NotDelivered(FuchsiatrackError):
+    """The call certainly never reached the server."""
+
+
+class NoAnswer(FuchsiatrackError):
+    """The call may have reached the server, now or later."""
+
+
+class GrantRefused(FuchsiatrackError):
+    """The server has seen a greater fence on one of the keys."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RangeGrant:
+    """Keys that a server may serve for `hold` milliseconds from the call's arrival."""
+
+    first: int
+    last: int
+    fence: int
+    hold: int
+    handover: str = ""
+
+
+class RangeGranter(abc.ABC):
+    """Calls the backend servers; `grant` and `release` raise NotDelivered or NoAnswer.
+
+    *timeout* is in milliseconds.
+    """
+
+    @abc.abstractmethod
+    async def grant(self, address: str, grant: RangeGrant, timeout: int) -> None:
+        """Grant or renew; raise GrantRefused when the server has seen a greater fence."""
+
+    @abc.abstractmethod
+    async def release(self, address: str, first: int, last: int, fence: int, timeout: int) -> str:
+        """Stop new work on the keys, wait for running work, and return the handover token."""
+
+    @abc.abstractmethod
+    async def can_reach(self, address: str, timeout: int) -> bool:
+        """Tell whether a new connection to the server can be opened."""
+
+    async def close(self) -> None:
+        """Give back connections."""
--- /dev/null
+++ b/src/fuchsiatrack/ranges/term.py
@@ -0,0 +1,302 @@
+"""Leadership by terms on the log: one leader at a time writes, and acts inside its lease."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import logging
+import random
+from collections.abc import Callable
+
+from fuchsiatrack.control.keyedlog import ConditionFailed, Fenced, KeyedLog, Stream, Writer
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
+
+TOPIC = "ownership"
+# Claims and ownership maps, which every daemon follows.
+STATE_STREAM = Stream(TOPIC, 0)
+# Renewals, which only a daemon that misses the leader reads.
+LEASE_STREAM = Stream(TOPIC, 1)
+TERM_KEY = "term"
+LEASE_KEY = "lease"
+WRITER_NAME = "leader"
+
+# How long a leader acts after the start of its latest successful renewal, in milliseconds: three
+# renewals may fail before it has to stop.
+LEASE = 2_500
+# Pause between renewals, in milliseconds.
+RENEW_PERIOD = 700
+# Pause after a renewal that failed, in milliseconds.
+RENEW_RETRY = 200
+# A leader that answers nothing for this long is looked up in the log, in milliseconds: three load
+# reports without an answer.
+SILENCE_MAX = 1_000
+# Time between two looks at the lease stream, in milliseconds: one renewal and some delay.
+LOOK_PERIOD = 1_000
+# Range of the random delay before a claim, in milliseconds, so that claims seldom meet.
+CLAIM_JITTER = 60
+# Pause after a claim that failed, in milliseconds.
+CLAIM_RETRY = 300
+WATCH_PERIOD = 100
+APPEND_RETRY = 150
+
+log = logging.getLogger(__name__)
+
+
+class NotLeading(Exception):
+    """The term has ended, so nothing more may be written or ordered in its name."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Term:
+    """One leader's time in office; `report_address` is where it takes load reports.
+
+    Terms are numbered from 1; term 0 has no leader.
+    """
+
+    number: int = 0
+    vm: str = ""
+    incarnation: str = ""
+    report_address: str = ""
+    resigned: bool = False
+
+    def encode(self) -> bytes:
+        """Return the term as JSON."""
+        return json.dumps(dataclasses.asdict(self)).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> Term:
+        """Return the term that `encode` wrote; raise ValueError for anything else."""
+        try:
+            return cls(**json.loads(data))
+        except TypeError as error:
+            raise ValueError(f"not a term: {error}") from error
+
+
+class Leadership:
+    """This daemon's part in leadership; `run` claims and renews until cancelled.
+
+    *is_able* tells whether the daemon knows enough to lead; *next_offset* returns the end of the
+    state stream as far as it has been read.
+    """
+
+    def __init__(
+        self,
+        me: Term,
+        log_service: KeyedLog,
+        clock: Clock,
+        rng: random.Random,
+        is_able: Callable[[], bool],
+        next_offset: Callable[[], int],
+    ) -> None:
+        self._me = me
+        self._log = log_service
+        self._clock = clock
+        self._rng = rng
+        self._is_able = is_able
+        self._next_offset = next_offset
+        self._current = Term()
+        self._confirmed_at = -LEASE
+        self._heard_at = clock.now()
+        self._sequence = 0
+        self._renewals = 0
+        self._state_lock = asyncio.Lock()
+        self._changed = asyncio.Event()
+        self.is_faltering = False
+        self.won_at = -1
+        self.changed_at = clock.now()
+
+    @property
+    def current(self) -> Term:
+        """The latest term that the log has shown."""
+        return self._current
+
+    @property
+    def is_mine(self) -> bool:
+        """Whether this daemon claimed the current term and has not resigned."""
+        mine = self._current.incarnation == self._me.incarnation
+        return mine and self._current.number > 0 and not self._current.resigned
+
+    def may_act(self) -> bool:
+        """Tell whether this daemon may order servers now."""
+        return self.is_mine and self.won_at >= 0 and self._clock.now() < self.acts_until
+
+    @property
+    def acts_until(self) -> int:
+        """The moment at which the lease ends."""
+        return self._confirmed_at + LEASE
+
+    def observe(self, data: bytes | None) -> None:
+        """Take in a term record."""
+        try:
+            term = Term.decode(data) if data else Term()
+        except ValueError as error:
+            log.warning("term record can't be read", extra={"why": str(error)})
+            return
+        if term.number < self._current.number:
+            return
+        if term.number > self._current.number:
+            self.changed_at = self._clock.now()
+        was_mine, self._current = self.is_mine, term
+        self._heard_at = self._clock.now()
+        self._changed.set()
+        if was_mine and not self.is_mine:
+            self.won_at = -1
+        fields = {"term": term.number, "leader": term.vm, "resigned": term.resigned}
+        log.info("term changed", extra=fields)
+
+    def hear_leader(self, term: int) -> None:
+        """Take in a sign that the leader of *term* acts."""
+        if term == self._current.number:
+            self._heard_at = self._clock.now()
+
+    async def run(self) -> None:
+        """Claim terms when there is no leader, and keep them, until cancelled."""
+        while True:
+            if self.is_mine:
+                await self._renew()
+            elif self._is_able() and await self._leader_is_lost():
+                await self._claim()
+            else:
+                await self._clock.sleep(WATCH_PERIOD)
+
+    async def append(self, key: str, value: bytes) -> None:
+        """Append to the state stream in the name of the term.
+
+        Returns once the record is certainly there; raises NotLeading when it is certainly not or
+        the term has ended.
+        """
+        async with self._state_lock:
+            self._sequence += 1
+            writer = Writer(WRITER_NAME, self._current.number, self._sequence)
+            while self.is_mine and self.won_at >= 0:
+                try:
+                    await self._log.append(STATE_STREAM, [(key, value)], writer=writer)
+                    return
+                except Fenced as error:
+                    self._lose(str(error))
+                except (AppendRefused, PlatformUnavailable) as error:
+                    # The sequence number makes the repeat safe where only the answer was lost.
+                    log.info("append is repeated", extra={"key": key, "why": str(error)})
+                    await self._clock.sleep(APPEND_RETRY)
+            raise NotLeading(f"term {writer.epoch}")
+
+    async def resign(self) -> None:
+        """Give up the term, so that another daemon takes over at once."""
+        if not self.is_mine:
+            return
+        number = self._current.number
+        resigned = dataclasses.replace(self._current, resigned=True)
+        try:
+            await self.append(TERM_KEY, resigned.encode())
+        except NotLeading:
+            log.info("term ended before it was resigned", extra={"term": number})
+            return
+        self._lose("resigned")
+        log.info("term resigned", extra={"term": number})
+
+    # Claims
+
+    async def _leader_is_lost(self) -> bool:
+        term = self._current
+        if term.number == 0 or term.resigned:
+            return True
+        if term.vm == self._me.vm:
+            # An earlier run of this very daemon, which has ended.
+            return term.incarnation != self._me.incarnation
+        if self._clock.now() - self._heard_at < SILENCE_MAX:
+            return False
+        return await self._lease_stands_still(term)
+
+    async def _lease_stands_still(self, term: Term) -> bool:
+        """Tell whether the lease stream shows no renewal for `LOOK_PERIOD`."""
+        try:
+            before = await self._read_lease()
+            await self._clock.sleep(LOOK_PERIOD)
+            if self._current != term or self._clock.now() - self._heard_at < SILENCE_MAX:
+                return False
+            after = await self._read_lease()
+        except PlatformUnavailable:
+            await self._clock.sleep(CLAIM_RETRY)
+            return False
+        if before != after:
+            self._heard_at = self._clock.now()
+            return False
+        log.info("leader is lost", extra={"term": term.number, "leader": term.vm})
+        return True
+
+    async def _read_lease(self) -> bytes:
+        page = await self._log.newest(LEASE_STREAM)
+        return next((item.value or b"" for item in page.records if item.key == LEASE_KEY), b"")
+
+    async def _claim(self) -> None:
+        await self._clock.sleep(self._rng.randrange(CLAIM_JITTER))
+        claim = dataclasses.replace(self._me, number=self._current.number + 1)
+        writer = Writer(WRITER_NAME, claim.number, 0)
+        end = self._next_offset()
+        try:
+            await self._log.append(
+                STATE_STREAM, [(TERM_KEY, claim.encode())], at=end, writer=writer
+            )
+        except (ConditionFailed, Fenced) as error:
+            log.info("claim came too late", extra={"term": claim.number, "why": str(error)})
+            await self._wait_for_change(CLAIM_RETRY)
+            return
+        except (AppendRefused, PlatformUnavailable) as error:
+            log.info("claim failed", extra={"term": claim.number, "why": str(error)})
+            await self._wait_for_change(CLAIM_RETRY)
+            return
+        self.observe(claim.encode())
+
+    async def _wait_for_change(self, timeout: int) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(timeout / 1_000):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    # Renewals
+
+    async def _renew(self) -> None:
+        """Renew once and wait for the next time.
+
+        The first renewal of a term also fences the renewals of every earlier one.
+        """
+        sent_at = self._clock.now()
+        self._renewals += 1
+        writer = Writer(WRITER_NAME, self._current.number, self._renewals)
+        value = json.dumps({"term": writer.epoch, "renewal": self._renewals}).encode()
+        try:
+            await self._log.append(LEASE_STREAM, [(LEASE_KEY, value)], writer=writer)
+        except Fenced as error:
+            self._lose(str(error))
+            return
+        except (AppendRefused, PlatformUnavailable) as error:
+            # The number was not used up, or its repeat gets the first answer.
+            self._renewals -= 1
+            self._falter(str(error))
+            await self._clock.sleep(RENEW_RETRY)
+            return
+        self._confirm(sent_at)
+        await self._clock.sleep_until(sent_at + RENEW_PERIOD)
+
+    def _confirm(self, sent_at: int) -> None:
+        self._confirmed_at = sent_at
+        self.is_faltering = False
+        if self.is_mine and self.won_at < 0:
+            self._sequence = 0
+            self.won_at = self._clock.now()
+            log.info("term won", extra={"term": self._current.number})
+
+    def _falter(self, why: str) -> None:
+        if not self.is_faltering:
+            log.warning("renewal failed", extra={"term": self._current.number, "why": why})
+        self.is_faltering = True
+
+    def _lose(self, why: str) -> None:
+        log.warning("term lost", extra={"term": self._current.number, "why": why})
+        self._current = dataclasses.replace(self._current, incarnation="", vm="")
+        self._heard_at = self._clock.now()
+        self.won_at = -1
--- a/src/fuchsiatrack/routing/refusal.py
+++ b/src/fuchsiatrack/routing/refusal.py
@@ -34,6 +34,8 @@
     TRUNCATED = ("truncated-answer", 502)
     CROSSED = ("crossed-answer", 502)
     SLOW_CALLER = ("slow-caller", 408)
+    SERVER_ERROR = ("server-error", 502)
+    OVERLOADED = ("overloaded", 503)
 
     @property
     def label(self) -> str:
@@ -54,6 +56,16 @@
     verdict: Verdict = Verdict.NOT_RUN
     retry_after: int = 0
 
+    @property
+    def final_status(self) -> int:
+        """The HTTP status, which promises nothing when the request may have run.
+
+        502 and 504 promise nothing, 408, 429 and 503 say that the request never ran.
+        """
+        if self.verdict is not Verdict.NOT_RUN:
+            return 504 if self.reason is Reason.DEADLINE else 502
+        return 503 if self.reason.status >= 500 else self.reason.status
+
     def to_response(self, request_id: str) -> web.Response:
         """Return the answer for the caller, as documented in docs/PROTOCOL.md."""
         headers = {VERDICT_HEADER: self.verdict.value, REASON_HEADER: self.reason.label}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,7 @@
 import random
 import selectors
 
+from fuchsiatrack.control.appendlog import AppendLog, LogPage, LogRecord
 from fuchsiatrack.control.assigner import Assigner
 from fuchsiatrack.control.follower import Follower
 from fuchsiatrack.control.grantclient import GrantAnswer, GrantClient, Reading, ServerUnreachable
@@ -25,8 +26,7 @@
 from fuchsiatrack.kernel.errors import PlatformUnavailable, RecordsExpired
 from fuchsiatrack.kernel.settings import TimingSettings
 from fuchsiatrack.model.objectset import ObjectSet
-from fuchsiatrack.platform.log import AppendLog, LogPage, LogRecord
-from fuchsiatrack.platform.vms import VM, VMSnapshot, VMState
+from fuchsiatrack.peers.vmlist import VM, VMSnapshot, VMState
 
 registry.load_plugins()
 CALL_TIMEOUT_S = 0.5
