Decide claims by the append's condition alone; read up before acting

All claims of one term used the same producer, epoch and sequence, and the store answers a repeat with the first answer, so the losers were told that they had won.

Change: a claim has no producer; the winner then sets the epoch with an empty append and reads up to that end before it acts.

--- a/src/fuchsiatrack/control/keyedlog.py
+++ b/src/fuchsiatrack/control/keyedlog.py
@@ -92,7 +92,9 @@
     ) -> int:
         """Append *records* as a whole and return the stream's new end.
 
-        With *at*, only when the stream ends there.  Raises ConditionFailed, Fenced or
+        With *at*, only when the stream ends there.  With a *writer*, a repeat of its latest
+        sequence numbers appends nothing and gets the first answer, so two processes must never
+        use one epoch.  Without records only the epoch is set.  Raises ConditionFailed, Fenced or
         AppendRefused when nothing was appended, and PlatformUnavailable when it may have been or
         may still be.
         """
--- a/src/fuchsiatrack/daemon/main.py
+++ b/src/fuchsiatrack/daemon/main.py
@@ -30,6 +30,7 @@
     if result.is_error():
         print("\n".join(result.error), file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    registry.load_plugins()
     if fault := _find_missing_plugin(result.ok):
         print(f"{_SETTINGS.value}: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -39,6 +39,7 @@
 # Pause after a claim that failed, in milliseconds.
 CLAIM_RETRY = 300
 WATCH_PERIOD = 100
+READ_PAUSE = 10
 APPEND_RETRY = 150
 
 log = logging.getLogger(__name__)
@@ -154,7 +155,9 @@
     async def run(self) -> None:
         """Claim terms when there is no leader, and keep them, until cancelled."""
         while True:
-            if self.is_mine:
+            if self.is_mine and self.won_at < 0:
+                await self._establish()
+            elif self.is_mine:
                 await self._renew()
             elif self._is_able() and await self._leader_is_lost():
                 await self._claim()
@@ -233,13 +236,11 @@
     async def _claim(self) -> None:
         await self._clock.sleep(self._rng.randrange(CLAIM_JITTER))
         claim = dataclasses.replace(self._me, number=self._current.number + 1)
-        writer = Writer(WRITER_NAME, claim.number, 0)
         end = self._next_offset()
         try:
-            await self._log.append(
-                STATE_STREAM, [(TERM_KEY, claim.encode())], at=end, writer=writer
-            )
-        except (ConditionFailed, Fenced) as error:
+            # The condition alone decides: several claims of one term must not look like repeats.
+            await self._log.append(STATE_STREAM, [(TERM_KEY, claim.encode())], at=end)
+        except ConditionFailed as error:
             log.info("claim came too late", extra={"term": claim.number, "why": str(error)})
             await self._wait_for_change(CLAIM_RETRY)
             return
@@ -257,6 +258,23 @@
         except TimeoutError:
             return
 
+    async def _establish(self) -> None:
+        """Fence earlier leaders, and read all that they have written."""
+        term = self._current.number
+        writer = Writer(WRITER_NAME, term, 0)
+        try:
+            end = await self._log.append(STATE_STREAM, (), writer=writer)
+        except Fenced as error:
+            self._lose(str(error))
+            return
+        except (AppendRefused, PlatformUnavailable) as error:
+            self._falter(str(error))
+            await self._clock.sleep(RENEW_RETRY)
+            return
+        while self._next_offset() < end and self._current.number == term:
+            await self._clock.sleep(READ_PAUSE)
+        await self._renew()
+
     # Renewals
 
     async def _renew(self) -> None:
