Send ownership by datagram; compare read offsets among daemons

Change: load reports and the leader's replies carry how far each stream was read; who is behind reads at once, and polls are short (2.2 s) while no leader answers. The leader sends each new map as a datagram once it is on the log; daemons read ownership from the log at most once a second.

--- a/src/fuchsiatrack/control/keyedlog.py
+++ b/src/fuchsiatrack/control/keyedlog.py
@@ -11,10 +11,13 @@
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import FuchsiatrackError, PlatformUnavailable, RecordsExpired
 
-# Length of a long poll, in milliseconds; the connection's keep-alive finds a silent peer sooner.
+# Length of a long poll while peers would say that records were missed, in milliseconds.
 POLL_WAIT = 20_000
+# Length of a long poll otherwise, in milliseconds: a poll that hears nothing, since the service
+# lost it, ends before its silence does harm.
+LONELY_POLL_WAIT = 2_200
 # Pause after a failed read, in milliseconds.
-RETRY_PAUSE = 200
+RETRY_PAUSE = 400
 # A listing read within this time of a failed read may lack servers that are alive, in
 # milliseconds: they need about two seconds to list themselves again.
 OUTAGE_AFTERMATH = 2_500
@@ -108,7 +111,8 @@
 
     *on_listing* gets all newest records, once at the start and again when records were missed;
     *on_record* gets each later one.  Both also get whether the log service was away shortly
-    before.
+    before.  After records have come, the next read waits *pause* milliseconds, so that records
+    which come together take one call.
     """
 
     def __init__(
@@ -118,14 +122,19 @@
         clock: Clock,
         on_listing: Callable[[tuple[KeyedRecord, ...], bool], None],
         on_record: Callable[[KeyedRecord, bool], None],
+        pause: int = 0,
     ) -> None:
         self._log = log_service
         self._stream = stream
         self._clock = clock
         self._on_listing = on_listing
         self._on_record = on_record
+        self._pause = pause
         self._failed_at: int | None = None
         self._is_failing = False
+        self._poll: asyncio.Task[KeyedPage] | None = None
+        self._hurry = asyncio.Event()
+        self._has_peers = False
         self.next = 0
         self.read_at = -1
         self.caught_up = asyncio.Event()
@@ -160,14 +169,59 @@
         self.next = page.next
         self.caught_up.set()
 
+    def hear(self, known: int) -> None:
+        """Take in that a peer has read up to offset *known*; read at once when that is more."""
+        self._has_peers = True
+        if known > self.next:
+            self.hurry()
+
+    def lose_peers(self) -> None:
+        """Take in that no peer would say that records were missed."""
+        if self._has_peers:
+            self._has_peers = False
+            self.hurry()
+
+    def hurry(self) -> None:
+        """Read now instead of waiting for the end of a poll or a pause."""
+        self._hurry.set()
+        if self._poll is not None:
+            self._poll.cancel()
+
     async def _read(self) -> None:
-        # A failing service is asked without waiting, so that its return is seen at once.
-        wait = 0 if self._is_failing else POLL_WAIT
-        page = await self._log.read(self._stream, self.next, wait)
+        page = await self._poll_once()
+        if page is None:
+            return
         self._note_success()
         for record in page.records:
             self._on_record(record, self._was_away())
         self.next = page.next
+        if page.records and self._pause:
+            await self._wait_for_hurry()
+
+    async def _poll_once(self) -> KeyedPage | None:
+        """Return the next page, None when the poll was given up for a new one."""
+        # A failing service is asked without waiting, so that its return is seen at once.
+        wait = POLL_WAIT if self._has_peers else LONELY_POLL_WAIT
+        if self._is_failing or self._hurry.is_set():
+            wait = 0
+        self._hurry.clear()
+        self._poll = asyncio.ensure_future(self._log.read(self._stream, self.next, wait))
+        try:
+            return await self._poll
+        except asyncio.CancelledError:
+            if self._hurry.is_set() and not _is_cancelled():
+                return None
+            self._poll.cancel()
+            raise
+        finally:
+            self._poll = None
+
+    async def _wait_for_hurry(self) -> None:
+        try:
+            async with asyncio.timeout(self._pause / 1_000):
+                await self._hurry.wait()
+        except TimeoutError:
+            return
 
     def _was_away(self) -> bool:
         failed_at = self._failed_at
@@ -184,3 +238,9 @@
         if self._is_failing:
             self._is_failing = False
             log.warning("log regained", extra={"topic": self._stream.topic})
+
+
+def _is_cancelled() -> bool:
+    """Tell whether the running task itself is being cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -37,6 +37,9 @@
 # Longest wait for the next part of a request's body, in milliseconds.
 BODY_IDLE_TIMEOUT = 10_000
 HOUSEKEEPING_PERIOD = 1_000
+# Pause between reads of the directory after an entry came, in milliseconds: servers often list
+# themselves together, and leaving ones are still served for some time.
+DIRECTORY_PAUSE = 200
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +66,7 @@
         self._configuration = ConfigurationHolder(adapter)
         self._directory = ServerDirectory(self._clock)
         self._metrics = TextMetrics()
+        self._followers = self._create_followers()
         self._ranges = RangeService(
             settings,
             secrets.token_hex(6),
@@ -74,8 +78,8 @@
             self._rng,
             self._can_lead,
             self._keyed_services,
+            self._followers,
         )
-        self._followers = self._create_followers()
         self._choosers = self._create_choosers()
         self._listener = CallerListener(self._create_parts(), self._metrics)
         self._readiness = ReadinessListener(lambda: self.is_ready and not self._stop.is_set())
@@ -156,6 +160,7 @@
                 self._clock,
                 feed.take_listing,
                 feed.take_record,
+                DIRECTORY_PAUSE,
             ),
         }
 
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -6,7 +6,7 @@
 import collections
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from fuchsiatrack.control.keyedlog import KeyedLog, StreamFollower
@@ -19,6 +19,7 @@
     REPORT_PERIOD,
     LoadReport,
     Members,
+    OwnershipUpdate,
     Reply,
     ReportChannel,
     ServerTimes,
@@ -31,6 +32,11 @@
 from fuchsiatrack.ranges.term import STATE_STREAM, Leadership, Term
 
 WATCH_PERIOD = 50
+# Pause between reads of ownership from the log, in milliseconds; the leader's updates come by
+# datagram, and the log is where a missed one is found.
+OWNERSHIP_PAUSE = 1_000
+# Without a reply of the leader for this long, nobody tells of missed records, in milliseconds.
+PEERS_TIMEOUT = 1_200
 PLANNER = "balanced"
 
 log = logging.getLogger(__name__)
@@ -51,6 +57,7 @@
         rng: random.Random,
         can_lead: Callable[[], bool],
         keyed_services: Callable[[], tuple[str, ...]],
+        followers: Mapping[str, StreamFollower],
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -64,16 +71,29 @@
         self._controlled_term = 0
         self._members = Members(clock)
         self._counts: dict[str, collections.Counter[int]] = {}
-        self._channel = ReportChannel(self._take_report, self._take_reply)
+        self._channel = ReportChannel(self._take_report, self._take_reply, self._take_update)
+        self._heard_at = clock.now()
         self._daemons = settings.expected_daemons
         me = Term(0, settings.vm, incarnation, str(settings.reports))
         self.leadership = Leadership(
-            me, log_service, clock, rng, self._may_claim(can_lead), lambda: self._follower.next
+            me,
+            log_service,
+            clock,
+            rng,
+            self._may_claim(can_lead),
+            lambda: self._follower.next,
+            lambda: self._follower.hurry(),
         )
         self.book = OwnershipBook(self.leadership)
         self._follower = StreamFollower(
-            log_service, STATE_STREAM, clock, self.book.take_listing, self.book.take_record
+            log_service,
+            STATE_STREAM,
+            clock,
+            self.book.take_listing,
+            self.book.take_record,
+            OWNERSHIP_PAUSE,
         )
+        self._followers = {**followers, "ownership": self._follower}
 
     @property
     def daemons(self) -> int:
@@ -146,7 +166,12 @@
 
     def _create_controller(self, service: str) -> RangeController:
         async def save(ownership: OwnershipMap) -> None:
-            await self.leadership.append(map_key(service), ownership.encode())
+            value = ownership.encode()
+            await self.leadership.append(map_key(service), value)
+            self.book.take_map(service, value)
+            term = self.leadership.current.number
+            update = OwnershipUpdate(term, service, ownership.revision, value)
+            self._channel.publish(update, self._members.addresses)
 
         planner: type[BalancedPlanner] = registry.find("range_planner", PLANNER)
         return RangeController(
@@ -167,12 +192,15 @@
         """Send this daemon's counts to the leader."""
         while True:
             await self._clock.sleep(REPORT_PERIOD)
+            if self._clock.now() - self._heard_at > PEERS_TIMEOUT:
+                for follower in self._followers.values():
+                    follower.lose_peers()
             term = self.leadership.current
             if not term.report_address or term.resigned:
                 continue
             for report in self._create_reports(term.number):
                 if term.incarnation == self._incarnation:
-                    self._take_reply_of(self._take_report(report))
+                    self._take_reply_of(self._take_report(report, None))
                 else:
                     self._channel.send(report, term.report_address)
 
@@ -188,19 +216,27 @@
             listed = {entry.id for entry in self._directory.of_service(service)}
             own = {name: row for name, row in times.items() if name in listed}
             keys = dict(counts.get(service, {}))
-            reports.append(LoadReport(vm, incarnation, term, service, keys, own))
-        return reports or [LoadReport(vm, incarnation, term)]
+            reports.append(LoadReport(vm, incarnation, term, service, keys, own, self._offsets()))
+        return reports or [LoadReport(vm, incarnation, term, offsets=self._offsets())]
 
-    def _take_report(self, report: LoadReport) -> Reply | None:
+    def _offsets(self) -> dict[str, int]:
+        """Return how far each stream was read, but for ownership, which comes by datagram."""
+        followers = self._followers.items()
+        return {name: item.next for name, item in followers if item is not self._follower}
+
+    def _take_report(self, report: LoadReport, address: tuple[str, int] | None) -> Reply | None:
         if not self.leadership.may_act() or report.term != self.leadership.current.number:
             return None
         self._members.note(report.vm)
+        if address is not None:
+            self._members.note_address(report.vm, address)
+            self._hear_offsets(report.offsets)
         controller = self._controllers.get(report.service)
         if controller is not None:
             controller.load.add(report.keys)
             for server, row in report.servers.items():
                 controller.times.add(server, row.samples, row.mean)
-        return Reply(report.term, self._members.count)
+        return Reply(report.term, self._members.count, self._offsets())
 
     def _take_reply_of(self, reply: Reply | None) -> None:
         if reply is not None:
@@ -208,10 +244,21 @@
 
     def _take_reply(self, reply: Reply) -> None:
         self.leadership.hear_leader(reply.term)
+        self._heard_at = self._clock.now()
+        self._hear_offsets(reply.offsets)
         # A leader that has just begun has not heard of every daemon yet.
         settled = self._clock.now() - self._leader_since() > 2 * REPORT_PERIOD
         if settled:
             self._daemons = max(1, reply.daemons)
 
+    def _hear_offsets(self, offsets: Mapping[str, int]) -> None:
+        """Compare how far a peer has read."""
+        for name, follower in self._followers.items():
+            follower.hear(offsets.get(name, 0))
+
+    def _take_update(self, update: OwnershipUpdate) -> None:
+        if update.term >= self.leadership.current.number:
+            self.book.take_map(update.service, update.ownership)
+
     def _leader_since(self) -> int:
         return self.leadership.changed_at
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -10,7 +10,8 @@
 import dataclasses
 import json
 import logging
-from collections.abc import Callable, Iterator, Mapping
+import zlib
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from fuchsiatrack.kernel.clock import Clock
 
@@ -20,6 +21,8 @@
 KEYS_PER_DATAGRAM = 400
 # A daemon that sent no report for this long is no longer counted, in milliseconds.
 MEMBER_TIMEOUT = 3_000
+# Largest datagram, in bytes; larger ownership maps are read from the log only.
+DATAGRAM_MAX = 60_000
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +37,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """What one daemon has counted for one service since its last report."""
+    """What one daemon has counted for one service since its last report.
+
+    `offsets` is how far the daemon has read each stream.
+    """
 
     vm: str
     incarnation: str
@@ -42,6 +48,7 @@
     service: str = ""
     keys: Mapping[int, int] = dataclasses.field(default_factory=dict)
     servers: Mapping[str, ServerTimes] = dataclasses.field(default_factory=dict)
+    offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the report as JSON."""
@@ -52,6 +59,7 @@
             "service": self.service,
             "keys": list(self.keys.items()),
             "servers": [[name, row.samples, row.mean] for name, row in self.servers.items()],
+            "offsets": dict(self.offsets),
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -63,7 +71,13 @@
             servers = {name: ServerTimes(count, mean) for name, count, mean in body["servers"]}
             keys = {int(key): int(count) for key, count in body["keys"]}
             return cls(
-                body["vm"], body["incarnation"], body["term"], body["service"], keys, servers
+                body["vm"],
+                body["incarnation"],
+                body["term"],
+                body["service"],
+                keys,
+                servers,
+                _decode_offsets(body["offsets"]),
             )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not a load report: {error!r}") from error
@@ -71,31 +85,79 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """The leader's reply: its term and how many daemons report to it."""
+    """The leader's reply: its term, how many daemons report to it, and the greatest offsets."""
 
     term: int
     daemons: int
+    offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the reply as JSON."""
-        return json.dumps({"leader_term": self.term, "daemons": self.daemons}).encode()
+        body = {
+            "leader_term": self.term,
+            "daemons": self.daemons,
+            "offsets": dict(self.offsets),
+        }
+        return json.dumps(body, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> Reply:
         """Return the reply that `encode` wrote; raise ValueError for anything else."""
         try:
             body = json.loads(data)
-            return cls(int(body["leader_term"]), int(body["daemons"]))
+            return cls(
+                int(body["leader_term"]), int(body["daemons"]), _decode_offsets(body["offsets"])
+            )
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a reply: {error!r}") from error
 
 
+@dataclasses.dataclass(frozen=True)
+class OwnershipUpdate:
+    """A service's ownership map as the leader of `term` has just written it to the log."""
+
+    term: int
+    service: str
+    revision: int
+    ownership: bytes
+
+    def encode(self) -> bytes:
+        """Return the update: one line of JSON, then the compressed map."""
+        head = {"update_term": self.term, "service": self.service, "revision": self.revision}
+        line = json.dumps(head, separators=(",", ":")).encode()
+        return line + b"\n" + zlib.compress(self.ownership)
+
+    @classmethod
+    def decode(cls, data: bytes) -> OwnershipUpdate:
+        """Return the update that `encode` wrote; raise ValueError for anything else."""
+        line, _, packed = data.partition(b"\n")
+        try:
+            head = json.loads(line)
+            ownership = zlib.decompress(packed)
+            return cls(head["update_term"], head["service"], int(head["revision"]), ownership)
+        except (KeyError, TypeError, zlib.error) as error:
+            raise ValueError(f"not an ownership update: {error!r}") from error
+
+
 class Members:
-    """The daemons that report to this leader."""
+    """The daemons that report to this leader, with the addresses that they report from."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._seen: dict[str, int] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
+
+    @property
+    def addresses(self) -> tuple[tuple[str, int], ...]:
+        """Where the daemons that have reported lately take datagrams."""
+        limit = self._clock.now() - MEMBER_TIMEOUT
+        return tuple(
+            address for vm, address in self._addresses.items() if self._seen.get(vm, 0) >= limit
+        )
+
+    def note_address(self, vm: str, address: tuple[str, int]) -> None:
+        """Take in where *vm* sent a report from."""
+        self._addresses[vm] = address
 
     @property
     def count(self) -> int:
@@ -118,11 +180,13 @@
 
     def __init__(
         self,
-        take_report: Callable[[LoadReport], Reply | None],
+        take_report: Callable[[LoadReport, tuple[str, int]], Reply | None],
         take_reply: Callable[[Reply], None],
+        take_update: Callable[[OwnershipUpdate], None],
     ) -> None:
         self._take_report = take_report
         self._take_reply = take_reply
+        self._take_update = take_update
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -130,16 +194,23 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
-            if b'"leader_term"' in data:
-                self._take_reply(Reply.decode(data))
-                return
-            reply = self._take_report(LoadReport.decode(data))
+            reply = self._dispatch(data, addr)
         except ValueError as error:
             log.warning("datagram can't be read", extra={"from": addr[0], "why": str(error)})
             return
         if reply and self._transport:
             self._transport.sendto(reply.encode(), addr)
 
+    def _dispatch(self, data: bytes, address: tuple[str, int]) -> Reply | None:
+        """Hand a datagram to its taker; the first field tells its kind."""
+        if data.startswith(b'{"update_term"'):
+            self._take_update(OwnershipUpdate.decode(data))
+            return None
+        if data.startswith(b'{"leader_term"'):
+            self._take_reply(Reply.decode(data))
+            return None
+        return self._take_report(LoadReport.decode(data), address)
+
     def error_received(self, exc: Exception) -> None:
         log.info("report failed", extra={"why": repr(exc)})
 
@@ -151,6 +222,18 @@
         for part in _split(report):
             self._transport.sendto(part.encode(), (host, int(port)))
 
+    def publish(self, update: OwnershipUpdate, addresses: Iterable[tuple[str, int]]) -> None:
+        """Send *update* to each of *addresses*; daemons that miss it read the log."""
+        data = update.encode()
+        if self._transport is None or self._transport.is_closing() or len(data) > DATAGRAM_MAX:
+            return
+        for address in addresses:
+            self._transport.sendto(data, address)
+
+
+def _decode_offsets(body: dict) -> dict[str, int]:
+    return {str(name): int(offset) for name, offset in body.items()}
+
 
 def _split(report: LoadReport) -> Iterator[LoadReport]:
     items = list(report.keys.items())
--- a/src/fuchsiatrack/ranges/book.py
+++ b/src/fuchsiatrack/ranges/book.py
@@ -37,14 +37,17 @@
         if record.key == TERM_KEY:
             self._leadership.observe(record.value)
         elif record.key.startswith(MAP_PREFIX) and record.value is not None:
-            self._take_map(record.key.removeprefix(MAP_PREFIX), record.value)
+            self.take_map(record.key.removeprefix(MAP_PREFIX), record.value)
 
-    def _take_map(self, service: str, value: bytes) -> None:
+    def take_map(self, service: str, value: bytes) -> None:
+        """Take in a map, from the log or from the leader; an older one is passed over."""
         try:
             ownership = OwnershipMap.decode(value)
         except ValueError as error:
             log.error("ownership can't be read", extra={"service": service, "why": str(error)})
             return
+        if ownership.revision < self.find(service).revision:
+            return
         self._maps[service] = ownership
         self.changed.on_next(service)
 
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -214,7 +214,8 @@
         """Change the map, first on the log."""
         async with self._write:
             changed = change(self._map)
-            if changed != self._map:
+            if changed.ranges != self._map.ranges:
+                changed = changed.with_revision(self._map.revision + 1)
                 await self._save(changed)
                 self._map = changed
 
--- a/src/fuchsiatrack/ranges/ownership.py
+++ b/src/fuchsiatrack/ranges/ownership.py
@@ -47,10 +47,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class OwnershipMap:
-    """All ranges of one service in order of their keys; together they hold every key, or none."""
+    """All ranges of one service in order of their keys; together they hold every key, or none.
+
+    `fence` is the greatest one used, `revision` counts the changes.
+    """
 
     ranges: tuple[OwnedRange, ...] = ()
     fence: int = 0
+    revision: int = 0
 
     def find(self, key: int) -> OwnedRange | None:
         """Return the range that holds *key*."""
@@ -117,6 +121,10 @@
                 ranges.append(item)
         return OwnershipMap(tuple(ranges), fence) if len(ranges) < len(self.ranges) else self
 
+    def with_revision(self, revision: int) -> OwnershipMap:
+        """Return the same map as change number *revision*."""
+        return dataclasses.replace(self, revision=revision)
+
     def encode(self) -> bytes:
         """Return the map as JSON."""
         rows = [
@@ -132,14 +140,16 @@
             ]
             for item in self.ranges
         ]
-        return json.dumps({"fence": self.fence, "ranges": rows}, separators=(",", ":")).encode()
+        body = {"fence": self.fence, "revision": self.revision, "ranges": rows}
+        return json.dumps(body, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> OwnershipMap:
         """Return the map that `encode` wrote; raise ValueError for anything else."""
         try:
             body = json.loads(data)
-            return cls(tuple(_decode_row(row) for row in body["ranges"]), int(body["fence"]))
+            ranges = tuple(_decode_row(row) for row in body["ranges"])
+            return cls(ranges, int(body["fence"]), int(body["revision"]))
         except (KeyError, TypeError) as error:
             raise ValueError(f"not an ownership map: {error!r}") from error
 
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -79,7 +79,7 @@
     """This daemon's part in leadership; `run` claims and renews until cancelled.
 
     *is_able* tells whether the daemon knows enough to lead; *next_offset* returns the end of the
-    state stream as far as it has been read.
+    state stream as far as it has been read, and *read_on* has it read further at once.
     """
 
     def __init__(
@@ -90,6 +90,7 @@
         rng: random.Random,
         is_able: Callable[[], bool],
         next_offset: Callable[[], int],
+        read_on: Callable[[], None],
     ) -> None:
         self._me = me
         self._log = log_service
@@ -97,6 +98,7 @@
         self._rng = rng
         self._is_able = is_able
         self._next_offset = next_offset
+        self._read_on = read_on
         self._current = Term()
         self._confirmed_at = -LEASE
         self._heard_at = clock.now()
@@ -242,6 +244,7 @@
             await self._log.append(STATE_STREAM, [(TERM_KEY, claim.encode())], at=end)
         except ConditionFailed as error:
             log.info("claim came too late", extra={"term": claim.number, "why": str(error)})
+            self._read_on()
             await self._wait_for_change(CLAIM_RETRY)
             return
         except (AppendRefused, PlatformUnavailable) as error:
@@ -272,6 +275,7 @@
             await self._clock.sleep(RENEW_RETRY)
             return
         while self._next_offset() < end and self._current.number == term:
+            self._read_on()
             await self._clock.sleep(READ_PAUSE)
         await self._renew()
 
