Replace a leader that falters; keep the age of moves across leaders

The store turned the leader away at 2.5 s; it neither saw that a server left nor could write, and kept its term until 6.3 s. By then two leaving servers were gone without having released their keys, so each new leader waited out the longest grant anew: ranges had no owner from 2.5 s to 40 s, and callers waited 600 ms for them each time. Two claims followed within 20 ms, since the second was decided before the first was seen.

Change: replies to load reports say that renewals fail; after 300 ms a daemon that reaches the log claims, and tells the old leader. Long grants begin only after 1.3 s of failed renewals. Holds of a moving range count from when its move was first seen. A range is not renewed while its move is being saved. A claim is dropped when the term changed during its delay. Requests are checked again after their wait at a gate, owners that left 1.5 s ago get nothing, and requests for a move that drags on are refused at once.

Tests: test_ranges (claims, faltering leader, unsaved move), test_gateway on the new stand-in of the store and of servers.

--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -59,6 +59,7 @@
         self._entries: dict[str, ServerEntry] = {}
         self._by_service: dict[str, tuple[ServerEntry, ...]] = {}
         self._lapsed: dict[str, int] = {}
+        self._leaving_since: dict[str, int] = {}
         self._former: dict[ServerLife, ServerEntry] = {}
         self.changed: Subject[str] = Subject()
 
@@ -75,6 +76,11 @@
         """Return the listed servers of *service*, by id."""
         return self._by_service.get(service, ())
 
+    def leaving_for(self, server: str) -> int:
+        """Return for how long *server* has been known to leave, in milliseconds; 0 if it stays."""
+        since = self._leaving_since.get(server)
+        return 0 if since is None else self._clock.now() - since
+
     def last_known(self, life: ServerLife) -> ServerEntry | None:
         """Return the latest entry of a server that is no longer listed."""
         return self._former.get(life)
@@ -86,6 +92,10 @@
         if old == entry:
             return
         self._entries[entry.id] = entry
+        if entry.leaving:
+            self._leaving_since.setdefault(entry.id, self._clock.now())
+        else:
+            self._leaving_since.pop(entry.id, None)
         self._index({entry.service} | ({old.service} if old else set()))
         fields = {
             "server": entry.id,
@@ -128,6 +138,7 @@
 
     def _drop(self, server: str) -> None:
         self._lapsed.pop(server, None)
+        self._leaving_since.pop(server, None)
         entry = self._entries.pop(server)
         self._remember(entry)
         self._index({entry.service})
--- a/src/fuchsiatrack/gateway/choosers.py
+++ b/src/fuchsiatrack/gateway/choosers.py
@@ -16,6 +16,9 @@
 # Longest wait for a key that is between two owners, in milliseconds: a hand-over takes as long
 # as the requests that still run at the old owner.
 OWNER_WAIT = 600
+# How long an owner that leaves still gets requests for its keys, in milliseconds: it serves for
+# two seconds after it said so, and the move of its keys takes much less.
+LEAVING_MAX = 1_500
 # When a caller may come back while a key has no owner, in milliseconds.
 OWNER_RETRY_AFTER = 300
 # Added to the expected time of a server in another failure domain, in milliseconds for each
@@ -42,6 +45,10 @@
     async def choose(self, wanted: Wanted) -> ServerEntry:
         """Return the server for the next send; raise Refusal when there is none in time."""
 
+    @abc.abstractmethod
+    def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
+        """Tell whether *entry*, which was chosen a while ago, may still get the request."""
+
 
 class BalancedChooser(ServerChooser):
     """The server that should answer first, for services whose servers are alike."""
@@ -68,6 +75,10 @@
             raise Refusal(Reason.NO_SERVER, retry_after=OWNER_RETRY_AFTER)
         return min(usable, key=lambda entry: self._cost(entry, wanted))
 
+    def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
+        found = self._directory.find(entry.id)
+        return found is not None and found.life == entry.life and not found.leaving
+
     def _cost(self, entry: ServerEntry, wanted: Wanted) -> float:
         state = self._states.get(entry.id, entry.slots)
         cost = state.expected_time(self._clock.now()) * (2.0 if entry.cold else 1.0)
@@ -91,7 +102,7 @@
     async def choose(self, wanted: Wanted) -> ServerEntry:
         if wanted.key is None:
             raise Refusal(Reason.NO_KEY)
-        limit = min(wanted.deadline, self._clock.now() + OWNER_WAIT)
+        limit = min(wanted.deadline, self._wait_until(wanted.service, wanted.key))
         while True:
             entry = self._owner(wanted.service, wanted.key)
             if entry is not None:
@@ -101,6 +112,16 @@
                 raise Refusal(Reason.NO_OWNER, retry_after=OWNER_RETRY_AFTER)
             await self._wait_for_change(left)
 
+    def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
+        return wanted.key is not None and self._owner(wanted.service, wanted.key) == entry
+
+    def _wait_until(self, service: str, key: int) -> int:
+        """Return how long waiting makes sense; a move that drags on may take seconds more."""
+        owned = self._book.find(service).find(key)
+        if owned is None or not owned.is_moving:
+            return self._clock.now() + OWNER_WAIT
+        return self._book.moving_since(service, owned) + OWNER_WAIT
+
     def _owner(self, service: str, key: int) -> ServerEntry | None:
         owned = self._book.find(service).find(key)
         if owned is None or owned.is_moving:
@@ -108,7 +129,7 @@
         entry = self._directory.find(owned.owner.server)
         if entry is None or entry.life != owned.owner or entry.service != service:
             return None
-        return entry
+        return entry if self._directory.leaving_for(entry.id) < LEAVING_MAX else None
 
     async def _wait_for_change(self, timeout: int) -> None:
         self._changed.clear()
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -57,6 +57,7 @@
         self._clock = SystemClock()
         self._rng = random.Random()
         self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
         self._links = LinkPool(self._clock)
         self._control_links = LinkPool(self._clock)
         self._states = ServerStates(self._clock)
@@ -106,9 +107,10 @@
         await self._ranges.start()
         log.info("daemon started", extra={"vm": settings.vm, "callers": str(settings.callers)})
         jobs = [*(item.run() for item in self._followers.values()), *self._ranges.jobs()]
-        tasks = [asyncio.create_task(self._supervise(job)) for job in (*jobs, self._keep_house())]
+        jobs.append(self._keep_house())
+        self._tasks = [asyncio.create_task(self._supervise(job)) for job in jobs]
         await self._stop.wait()
-        await self._shut_down(tasks)
+        await self._shut_down()
 
     async def _supervise(self, job: Coroutine[Any, Any, None]) -> None:
         try:
@@ -117,7 +119,12 @@
             log.exception("task failed; the daemon stops")
             self._stop.set()
 
-    async def _shut_down(self, tasks: list[asyncio.Task]) -> None:
+    async def abandon(self) -> None:
+        """End at once, as a killed process does, but give back what the event loop holds."""
+        await self._listener.stop(0)
+        await self._close()
+
+    async def _shut_down(self) -> None:
         log.info("stop begins", extra={"in_flight": self._listener.in_flight})
         started = self._clock.now()
         self._listener.leave()
@@ -125,14 +132,18 @@
         await self._wait_for_callers(started + LEAVE_TIME)
         left = started + self._settings.stop_grace - STOP_MARGIN - self._clock.now()
         await self._listener.stop(max(left, 0))
-        for task in tasks:
+        await self._close()
+        log.info("daemon stopped", extra={"took_ms": self._clock.now() - started})
+
+    async def _close(self) -> None:
+        for task in self._tasks:
             task.cancel()
+        self._ranges.close()
         await self._readiness.stop()
         await self._metrics_page.stop()
         self._links.close()
         self._control_links.close()
         await self._log.close()
-        log.info("daemon stopped", extra={"took_ms": self._clock.now() - started})
 
     async def _wait_for_callers(self, earliest: int) -> None:
         """Go on serving until *earliest*, then while callers are connected and time is left."""
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -169,7 +169,7 @@
             entry = await chooser.choose(wanted)
             self.outcome.server = entry.id
             try:
-                return await self._send(entry, route, terms)
+                return await self._send(entry, route, terms, wanted)
             except Refusal as refusal:
                 await self._prepare_resend(refusal, route, service, entry)
 
@@ -190,6 +190,9 @@
         allowed = refusal.verdict.allows_resend or route.idempotent
         if not allowed or not self._body.can_resend or outcome.sends >= SENDS_MAX:
             raise refusal
+        if refusal.reason is Reason.STALE:
+            # Nothing was sent; another server is chosen.
+            return
         if refusal.reason is not Reason.MOVED:
             self._avoid |= {entry.id}
         if refusal.reason is not Reason.CONNECTION or refusal.verdict is not Verdict.NOT_RUN:
@@ -199,13 +202,17 @@
             raise refusal
         await self._clock.sleep(RESEND_PAUSE * outcome.sends)
 
-    async def _send(self, entry: ServerEntry, route: Route, terms: CallTerms) -> web.Response:
+    async def _send(
+        self, entry: ServerEntry, route: Route, terms: CallTerms, wanted: Wanted
+    ) -> web.Response:
         """Send once; raise Refusal with what is known when no usable answer came."""
         state = self._parts.states.get(entry.id, entry.slots)
         gate = self._parts.gates.get(entry.id)
         most = self._connection_share(entry.service)
         await gate.enter(self._claim(route), most, state.latency)
         try:
+            if not self._parts.chooser(entry.service).is_current(entry, wanted):
+                raise Refusal(Reason.STALE, retry_after=RETRY_AFTER)
             return await self._send_now(entry, route, terms, most)
         finally:
             gate.leave(state.latency)
--- a/src/fuchsiatrack/gateway/gates.py
+++ b/src/fuchsiatrack/gateway/gates.py
@@ -149,7 +149,7 @@
         place = asyncio.get_running_loop().create_future()
         item = (claim, place)
         self._waiting.append(item)
-        latest = claim.deadline - int(service_time) - self._clock.now()
+        latest = self._latest_start(claim, service_time) - self._clock.now()
         try:
             async with asyncio.timeout(max(latest, 0) / 1_000):
                 await place
@@ -163,6 +163,15 @@
             if item in self._waiting:
                 self._waiting.remove(item)
 
+    def _latest_start(self, claim: Claim, service_time: float) -> int:
+        """Return the moment until which *claim* waits.
+
+        Who can't start before an answer would be late is better told to come back, while there
+        is time for that; whoever is late already waits as long as it has time.
+        """
+        now, last = self._clock.now(), claim.deadline - int(service_time)
+        return min(claim.on_time, last) if now < claim.on_time else last
+
     def _give_up(self, place: asyncio.Future[None], service_time: float) -> None:
         """Give back a place that was assigned at the moment when the wait ended."""
         if place.done() and not place.cancelled() and place.exception() is None:
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import logging
 import random
 from collections.abc import Callable, Coroutine, Mapping
@@ -73,6 +74,8 @@
         self._counts: dict[str, collections.Counter[int]] = {}
         self._channel = ReportChannel(self._take_report, self._take_reply, self._take_update)
         self._heard_at = clock.now()
+        self._told_term = 0
+        self._former_address = ""
         self._daemons = settings.expected_daemons
         me = Term(0, settings.vm, incarnation, str(settings.reports))
         self.leadership = Leadership(
@@ -84,7 +87,7 @@
             lambda: self._follower.next,
             lambda: self._follower.hurry(),
         )
-        self.book = OwnershipBook(self.leadership)
+        self.book = OwnershipBook(self.leadership, clock)
         self._follower = StreamFollower(
             log_service,
             STATE_STREAM,
@@ -125,6 +128,11 @@
         except TimeoutError:
             log.warning("term could not be resigned")
 
+    def close(self) -> None:
+        """Stop control and give back the port."""
+        self._stop_control()
+        self._channel.close()
+
     def _may_claim(self, can_lead: Callable[[], bool]) -> Callable[[], bool]:
         return lambda: can_lead() and self._follower.caught_up.is_set()
 
@@ -183,6 +191,7 @@
             self._clock,
             self._settings.max_hold,
             self.book.find(service),
+            functools.partial(self.book.moving_since, service),
             save,
         )
 
@@ -196,6 +205,7 @@
                 for follower in self._followers.values():
                     follower.lose_peers()
             term = self.leadership.current
+            self._tell_former_leader(term)
             if not term.report_address or term.resigned:
                 continue
             for report in self._create_reports(term.number):
@@ -204,6 +214,16 @@
                 else:
                     self._channel.send(report, term.report_address)
 
+    def _tell_former_leader(self, term: Term) -> None:
+        """Tell the leader before this one that its term has ended, in case it can't read that."""
+        if term.number == self._told_term:
+            return
+        former, self._told_term = self._former_address, term.number
+        self._former_address = term.report_address
+        if former and former != term.report_address:
+            report = LoadReport(self._settings.vm, self._incarnation, term.number)
+            self._channel.send(report, former)
+
     def _create_reports(self, term: int) -> list[LoadReport]:
         counts, self._counts = self._counts, {}
         times = {
@@ -225,6 +245,7 @@
         return {name: item.next for name, item in followers if item is not self._follower}
 
     def _take_report(self, report: LoadReport, address: tuple[str, int] | None) -> Reply | None:
+        self.leadership.hear_term(report.term)
         if not self.leadership.may_act() or report.term != self.leadership.current.number:
             return None
         self._members.note(report.vm)
@@ -236,14 +257,15 @@
             controller.load.add(report.keys)
             for server, row in report.servers.items():
                 controller.times.add(server, row.samples, row.mean)
-        return Reply(report.term, self._members.count, self._offsets())
+        faltering = self.leadership.is_faltering
+        return Reply(report.term, self._members.count, faltering, self._offsets())
 
     def _take_reply_of(self, reply: Reply | None) -> None:
         if reply is not None:
             self._take_reply(reply)
 
     def _take_reply(self, reply: Reply) -> None:
-        self.leadership.hear_leader(reply.term)
+        self.leadership.hear_leader(reply.term, reply.faltering)
         self._heard_at = self._clock.now()
         self._hear_offsets(reply.offsets)
         # A leader that has just begun has not heard of every daemon yet.
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -85,10 +85,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
-    """The leader's reply: its term, how many daemons report to it, and the greatest offsets."""
+    """The leader's reply: its term, how many daemons report to it, and how far it has read.
+
+    `faltering` says that its renewals fail.
+    """
 
     term: int
     daemons: int
+    faltering: bool = False
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def encode(self) -> bytes:
@@ -96,6 +100,7 @@
         body = {
             "leader_term": self.term,
             "daemons": self.daemons,
+            "faltering": self.faltering,
             "offsets": dict(self.offsets),
         }
         return json.dumps(body, separators=(",", ":")).encode()
@@ -106,7 +111,10 @@
         try:
             body = json.loads(data)
             return cls(
-                int(body["leader_term"]), int(body["daemons"]), _decode_offsets(body["offsets"])
+                int(body["leader_term"]),
+                int(body["daemons"]),
+                bool(body["faltering"]),
+                _decode_offsets(body["offsets"]),
             )
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a reply: {error!r}") from error
@@ -214,6 +222,11 @@
     def error_received(self, exc: Exception) -> None:
         log.info("report failed", extra={"why": repr(exc)})
 
+    def close(self) -> None:
+        """Give back the port."""
+        if self._transport is not None:
+            self._transport.close()
+
     def send(self, report: LoadReport, address: str) -> None:
         """Send *report* to the leader at *address*, IP:PORT."""
         if self._transport is None or self._transport.is_closing():
--- a/src/fuchsiatrack/ranges/book.py
+++ b/src/fuchsiatrack/ranges/book.py
@@ -7,7 +7,8 @@
 from reactivex.subject import Subject
 
 from fuchsiatrack.control.keyedlog import KeyedRecord
-from fuchsiatrack.ranges.ownership import OwnershipMap
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 from fuchsiatrack.ranges.term import TERM_KEY, Leadership
 
 MAP_PREFIX = "map/"
@@ -18,15 +19,21 @@
 class OwnershipBook:
     """Takes in the state stream; `changed` emits the name of each service with a new map."""
 
-    def __init__(self, leadership: Leadership) -> None:
+    def __init__(self, leadership: Leadership, clock: Clock) -> None:
         self._leadership = leadership
+        self._clock = clock
         self._maps: dict[str, OwnershipMap] = {}
+        self._moving: dict[str, dict[tuple[int, int], int]] = {}
         self.changed: Subject[str] = Subject()
 
     def find(self, service: str) -> OwnershipMap:
         """Return the map of *service*, an empty one when nothing is assigned."""
         return self._maps.get(service, OwnershipMap())
 
+    def moving_since(self, service: str, item: OwnedRange) -> int:
+        """Return when *item* was first seen to leave its owner, now when it was not."""
+        return self._moving.get(service, {}).get((item.first, item.next_fence), self._clock.now())
+
     def take_listing(self, records: tuple[KeyedRecord, ...], was_away: bool) -> None:
         """Take in the newest record of each key."""
         for record in records:
@@ -49,6 +56,12 @@
         if ownership.revision < self.find(service).revision:
             return
         self._maps[service] = ownership
+        known, now = self._moving.get(service, {}), self._clock.now()
+        self._moving[service] = {
+            (item.first, item.next_fence): known.get((item.first, item.next_fence), now)
+            for item in ownership.ranges
+            if item.is_moving
+        }
         self.changed.on_next(service)
 
 
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -55,7 +55,8 @@
 class RangeController:
     """Runs while this daemon leads; a new one is made for each term.
 
-    *ownership* returns the service's map as the log shows it, *save* appends a map to the log.
+    *ownership* is the service's map as the log shows it, *moving_since* tells when this daemon
+    first saw that a range leaves its owner, and *save* appends a map to the log.
     Times are in milliseconds.
     """
 
@@ -69,6 +70,7 @@
         clock: Clock,
         max_hold: int,
         ownership: OwnershipMap,
+        moving_since: Callable[[OwnedRange], int],
         save: Callable[[OwnershipMap], Awaitable[None]],
     ) -> None:
         self._service = service
@@ -79,6 +81,8 @@
         self._clock = clock
         self._max_hold = max_hold
         self._map = ownership
+        self._pending: OwnershipMap | None = None
+        self._moving_since = moving_since
         self._save = save
         self._started_at = clock.now()
         self._balanced_at = -BALANCE_PERIOD
@@ -109,8 +113,11 @@
 
     def _inherit_holds(self) -> None:
         """Count the grants that earlier leaders may have sent, now or until their leases end."""
-        arrival = self._clock.now() + LEASE + GRANT_TIMEOUT
+        latest = self._clock.now() + LEASE + GRANT_TIMEOUT
         for item in self._map.ranges:
+            # A leader renews ranges no longer once it has begun to record that they leave.
+            left = self._moving_since(item) + LEASE + GRANT_TIMEOUT
+            arrival = min(latest, left) if item.is_moving else latest
             self._holds.note(item.owner, item.first, item.last, arrival, self._max_hold)
 
     async def _step(self) -> None:
@@ -216,8 +223,9 @@
             changed = change(self._map)
             if changed.ranges != self._map.ranges:
                 changed = changed.with_revision(self._map.revision + 1)
+                self._pending = changed
                 await self._save(changed)
-                self._map = changed
+                self._map, self._pending = changed, None
 
     # Grants
 
@@ -242,16 +250,16 @@
 
     def _hold(self) -> int:
         """Return how long grants last: long ones while renewals of the term fail."""
-        return self._max_hold if self._leadership.is_faltering else GRANT_HOLD
+        return self._max_hold if self._leadership.has_faltered_long else GRANT_HOLD
 
     async def _grant_all(self, life: ServerLife, hold: int) -> bool:
         """Grant *life* what it owns; return whether it answered."""
         entry = self._entry(life)
         if entry is None:
             return False
-        for item in self._map.of(life):
-            if item.is_moving or not self._leadership.may_act():
-                continue
+        for item in self._renewable(life):
+            if not self._leadership.may_act():
+                return False
             try:
                 await self._grant(entry, item, hold)
             except (NoAnswer, NotDelivered) as error:
@@ -261,6 +269,17 @@
                 await self._raise_fence(item, str(error))
         return True
 
+    def _renewable(self, life: ServerLife) -> list[OwnedRange]:
+        """Return what *life* owns on the log and will own after the change that is being saved."""
+        planned = self._pending or self._map
+        return [
+            item
+            for item in planned.of(life)
+            if not item.is_moving
+            and (known := self._map.find(item.first)) is not None
+            and (known.owner, known.fence) == (life, item.fence)
+        ]
+
     async def _grant(self, entry: ServerEntry, item: OwnedRange, hold: int) -> None:
         grant = RangeGrant(item.first, item.last, item.fence, hold, item.handover)
         latest = self._clock.now() + GRANT_TIMEOUT
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -41,6 +41,14 @@
 WATCH_PERIOD = 100
 READ_PAUSE = 10
 APPEND_RETRY = 150
+# The same once the lease has ended, in milliseconds: the append only settles what the log holds.
+APPEND_RETRY_LATE = 1_000
+# A leader whose renewals fail is replaced after this long by a daemon that reaches the log, in
+# milliseconds: one retry of a renewal.
+FALTER_TOLERANCE = 300
+# Renewals that fail for this long make the leader grant for long, in milliseconds: leaves time
+# for another daemon to take over first, and for the grants before the lease ends.
+LONG_FALTER = 1_300
 
 log = logging.getLogger(__name__)
 
@@ -106,7 +114,8 @@
         self._renewals = 0
         self._state_lock = asyncio.Lock()
         self._changed = asyncio.Event()
-        self.is_faltering = False
+        self._falters_since: int | None = None
+        self._leader_falters_since: int | None = None
         self.won_at = -1
         self.changed_at = clock.now()
 
@@ -141,6 +150,8 @@
             return
         if term.number > self._current.number:
             self.changed_at = self._clock.now()
+            self._leader_falters_since = None
+            self._falters_since = None
         was_mine, self._current = self.is_mine, term
         self._heard_at = self._clock.now()
         self._changed.set()
@@ -149,10 +160,34 @@
         fields = {"term": term.number, "leader": term.vm, "resigned": term.resigned}
         log.info("term changed", extra=fields)
 
-    def hear_leader(self, term: int) -> None:
-        """Take in a sign that the leader of *term* acts."""
-        if term == self._current.number:
-            self._heard_at = self._clock.now()
+    @property
+    def has_faltered_long(self) -> bool:
+        """Whether renewals have failed for so long that the lease may end."""
+        return self._falters_since is not None and self._faltered_for() >= LONG_FALTER
+
+    @property
+    def is_faltering(self) -> bool:
+        """Whether the latest renewal failed."""
+        return self._falters_since is not None
+
+    def hear_leader(self, term: int, faltering: bool) -> None:
+        """Take in a sign that the leader of *term* acts, and whether its renewals fail."""
+        if term != self._current.number:
+            return
+        self._heard_at = self._clock.now()
+        if not faltering:
+            self._leader_falters_since = None
+        elif self._leader_falters_since is None:
+            self._leader_falters_since = self._clock.now()
+
+    def hear_term(self, number: int) -> None:
+        """Take in that a peer knows of term *number*; a greater one ends this daemon's term."""
+        if number > self._current.number and self.is_mine:
+            self._lose(f"term {number} has begun")
+            self._read_on()
+
+    def _faltered_for(self) -> int:
+        return self._clock.now() - (self._falters_since or 0)
 
     async def run(self) -> None:
         """Claim terms when there is no leader, and keep them, until cancelled."""
@@ -184,7 +219,7 @@
                 except (AppendRefused, PlatformUnavailable) as error:
                     # The sequence number makes the repeat safe where only the answer was lost.
                     log.info("append is repeated", extra={"key": key, "why": str(error)})
-                    await self._clock.sleep(APPEND_RETRY)
+                    await self._clock.sleep(APPEND_RETRY if self.may_act() else APPEND_RETRY_LATE)
             raise NotLeading(f"term {writer.epoch}")
 
     async def resign(self) -> None:
@@ -210,6 +245,11 @@
         if term.vm == self._me.vm:
             # An earlier run of this very daemon, which has ended.
             return term.incarnation != self._me.incarnation
+        falters_since = self._leader_falters_since
+        if falters_since is not None and self._clock.now() - falters_since >= FALTER_TOLERANCE:
+            self._leader_falters_since = None
+            log.info("leader falters", extra={"term": term.number, "leader": term.vm})
+            return True
         if self._clock.now() - self._heard_at < SILENCE_MAX:
             return False
         return await self._lease_stands_still(term)
@@ -225,6 +265,8 @@
         except PlatformUnavailable:
             await self._clock.sleep(CLAIM_RETRY)
             return False
+        if self._current != term:
+            return False
         if before != after:
             self._heard_at = self._clock.now()
             return False
@@ -236,7 +278,11 @@
         return next((item.value or b"" for item in page.records if item.key == LEASE_KEY), b"")
 
     async def _claim(self) -> None:
+        lost = self._current
         await self._clock.sleep(self._rng.randrange(CLAIM_JITTER))
+        if self._current != lost:
+            # Another daemon has claimed meanwhile.
+            return
         claim = dataclasses.replace(self._me, number=self._current.number + 1)
         end = self._next_offset()
         try:
@@ -306,16 +352,16 @@
 
     def _confirm(self, sent_at: int) -> None:
         self._confirmed_at = sent_at
-        self.is_faltering = False
+        self._falters_since = None
         if self.is_mine and self.won_at < 0:
             self._sequence = 0
             self.won_at = self._clock.now()
             log.info("term won", extra={"term": self._current.number})
 
     def _falter(self, why: str) -> None:
-        if not self.is_faltering:
+        if self._falters_since is None:
             log.warning("renewal failed", extra={"term": self._current.number, "why": why})
-        self.is_faltering = True
+            self._falters_since = self._clock.now()
 
     def _lose(self, why: str) -> None:
         log.warning("term lost", extra={"term": self._current.number, "why": why})
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,202 @@
+"""A gateway daemon in this process, on the stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import secrets
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from fuchsiatrack.gateway.daemon import GatewayDaemon
+from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings
+from fuchsiatrack.platform.adapter import UsersPlatform
+from fuchsiatrack.ranges import controller
+from fuchsiatrack_standins.fleet.instance import InstanceStandIn
+from fuchsiatrack_standins.fleet.store import StoreStandIn
+
+HOST = "shop.example"
+READY_TIMEOUT_S = 15.0
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port of the loopback address that nobody listens on."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def gateway_settings(store: StoreStandIn, vm: str, **changes: object) -> GatewaySettings:
+    """Return settings of a daemon on free ports."""
+    fields = {
+        "vm": vm,
+        "failure_domain": "a",
+        "callers": Endpoint("127.0.0.1", free_port()),
+        "readiness": Endpoint("127.0.0.1", free_port()),
+        "reports": Endpoint("127.0.0.1", free_port(socket.SOCK_DGRAM)),
+        "log_service": endpoint_of(store),
+        "metrics_port": free_port(),
+        "max_hold": 10_000,
+        "stop_grace": 6_000,
+        "retry_ratio": 0.2,
+        "retry_fixed": 50.0,
+        "retry_window": 10_000,
+        "expected_daemons": 2,
+    }
+    return GatewaySettings(**{**fields, **changes})
+
+
+def route(name: str, prefix: str, kind: str, service: str, **changes: object) -> dict:
+    """Return one route as the operator writes it."""
+    fields = {
+        "Name": name,
+        "PathPrefix": prefix,
+        "RouteType": kind,
+        "Timeout": "2000ms",
+        "TargetLatency": "300ms",
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+    }
+    return {**fields, **changes}
+
+
+def configuration(version: int, routes: list[dict], sharded: tuple[str, ...] = ()) -> dict:
+    """Return a configuration with the services that *routes* name."""
+    names = {item["Service"] for item in routes if "Service" in item}
+    names |= {part["Service"] for item in routes for part in item.get("TrafficSplit", ())}
+    services = [
+        {
+            "Name": name,
+            "HealthPath": "/health",
+            "MaxConnections": 60,
+            **({"Sharded": True} if name in sharded else {}),
+        }
+        for name in sorted(names)
+    ]
+    limits = {
+        "MaxHeaderBytes": 16_384,
+        "MaxBodyBytes": 4_000_000,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    }
+    hosts = [{"Host": HOST, "Paths": routes}]
+    return {
+        "Version": f"{version:08x}",
+        "Services": services,
+        "Limits": limits,
+        "VirtualHosts": hosts,
+    }
+
+
+class Fleet:
+    """A store, servers and daemons; everything ends with the context."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.servers: dict[str, InstanceStandIn] = {}
+        self.daemons: dict[str, GatewayDaemon] = {}
+        self.settings: dict[str, GatewaySettings] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def add_server(self, name: str, service: str, **options: object) -> InstanceStandIn:
+        """Start and list a server."""
+        listed = options.pop("listed", True)
+        server = self.servers[name] = InstanceStandIn(self.store, name, service, **options)
+        await server.start(listed=listed)
+        return server
+
+    async def add_daemon(self, vm: str, **changes: object) -> GatewayDaemon:
+        """Start a daemon."""
+        settings = self.settings[vm] = gateway_settings(self.store, vm, **changes)
+        daemon = GatewayDaemon(UsersPlatform(), settings, pathlib.Path(__file__))
+        self.daemons[vm] = daemon
+        self._tasks[vm] = asyncio.create_task(daemon.run())
+        return daemon
+
+    async def wait_ready(self, timeout: float = READY_TIMEOUT_S) -> None:
+        """Wait until every daemon is ready and its requests can run."""
+        async with asyncio.timeout(timeout):
+            while not all(daemon.is_ready for daemon in self.daemons.values()):
+                await asyncio.sleep(0.02)
+
+    def publish(self, version: int, routes: list[dict], sharded: tuple[str, ...] = ()) -> None:
+        """Put a configuration in force."""
+        self.store.put("keyed.op", "config", configuration(version, routes, sharded))
+
+    async def call(
+        self,
+        path: str,
+        vm: str | None = None,
+        method: str = "GET",
+        key: int | None = None,
+        deadline: int = 2_000,
+        body: bytes | None = None,
+        request_id: str | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request through a daemon; return status, body and headers."""
+        settings = self.settings[vm or next(iter(self.settings))]
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": request_id or secrets.token_hex(8),
+            "X-Deadline-Ms": str(deadline),
+            **({"X-Shard-Key": str(key)} if key is not None else {}),
+            **(headers or {}),
+        }
+        url = f"http://{settings.callers}{path}"
+        async with self.session.request(method, url, headers=sent, data=body) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The callers' HTTP client."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        return self._session
+
+    async def stop_daemon(self, vm: str) -> None:
+        """Stop a daemon gracefully."""
+        self.daemons.pop(vm)._stop.set()
+        await self._tasks.pop(vm)
+
+    async def kill_daemon(self, vm: str) -> None:
+        """End a daemon without any farewell."""
+        daemon = self.daemons.pop(vm)
+        self._tasks.pop(vm).cancel()
+        await daemon.abandon()
+
+    async def close(self) -> None:
+        """End everything."""
+        if self._session is not None:
+            await self._session.close()
+        for vm in tuple(self.daemons):
+            await self.kill_daemon(vm)
+        for server in self.servers.values():
+            await server.stop()
+        await self.store.stop()
+
+
+@contextlib.asynccontextmanager
+async def run_fleet() -> AsyncIterator[Fleet]:
+    """Yield a fleet with a running store."""
+    fleet = Fleet()
+    await fleet.store.start()
+    # Servers are listed before the daemons start, so the first assignment needs no wait.
+    usual, controller.FIRST_ASSIGN_WAIT = controller.FIRST_ASSIGN_WAIT, 50
+    try:
+        yield fleet
+    finally:
+        controller.FIRST_ASSIGN_WAIT = usual
+        await fleet.close()
+
+
+def endpoint_of(store: StoreStandIn) -> Endpoint:
+    """Return where *store* listens."""
+    host, _, port = store.address.rpartition(":")
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/tests/test_ranges.py
@@ -0,0 +1,557 @@
+"""Ownership of key ranges: maps, holds, plans, terms, and control under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerLife
+from fuchsiatrack.kernel.clock import Clock, SystemClock
+from fuchsiatrack.kernel.errors import AppendRefused
+from fuchsiatrack.platform.store import StoreClient
+from fuchsiatrack.ranges import controller as control
+from fuchsiatrack.ranges.book import OwnershipBook, map_key
+from fuchsiatrack.ranges.controller import RangeController
+from fuchsiatrack.ranges.granting import GrantRefused, NoAnswer, NotDelivered, RangeGranter
+from fuchsiatrack.ranges.holds import HoldLedger
+from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
+from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap, divide_evenly
+from fuchsiatrack.ranges.planner import BalancedPlanner, Situation, StayPlanner
+from fuchsiatrack.ranges.term import STATE_STREAM, TERM_KEY, Leadership, NotLeading, Term
+from fuchsiatrack_standins.fleet.store import Mode, StoreStandIn
+from tests.fleet import endpoint_of
+
+LIVES = tuple(ServerLife(f"s{index}", 1) for index in range(4))
+
+
+class ManualClock(Clock):
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.time = 0
+
+    def now(self) -> int:
+        return self.time
+
+
+def _is_partition(ownership: OwnershipMap) -> bool:
+    ends = [-1, *(item.last for item in ownership.ranges)]
+    starts = [*(item.first for item in ownership.ranges), LAST_KEY + 1]
+    return all(start == end + 1 for end, start in zip(ends, starts, strict=True))
+
+
+class TestOwnershipMap:
+    """Every change keeps each key in exactly one range."""
+
+    @given(st.data())
+    @settings(max_examples=150, deadline=None)
+    def test_any_changes_keep_a_partition_and_raise_fences(self, data: st.DataObject):
+        ownership = divide_evenly(LIVES, 1)
+        for _ in range(data.draw(st.integers(1, 12))):
+            before = ownership
+            first = data.draw(st.integers(0, LAST_KEY))
+            last = data.draw(st.integers(first, LAST_KEY))
+            moving = [item for item in ownership.ranges if item.is_moving]
+            if moving and data.draw(st.booleans()):
+                ownership = ownership.finish_move(data.draw(st.sampled_from(moving)), "token")
+            elif data.draw(st.booleans()):
+                ownership = ownership.start_move(first, last, data.draw(st.sampled_from(LIVES)))
+            else:
+                ownership = ownership.merge_neighbours()
+            assert _is_partition(ownership)
+            for item in ownership.ranges:
+                old = before.find(item.first)
+                assert item.fence > old.fence or item.owner == old.owner
+                assert not item.is_moving or item.next_fence > item.fence
+
+    @given(st.integers(0, LAST_KEY), st.integers(0, LAST_KEY))
+    @settings(max_examples=50, deadline=None)
+    def test_what_is_written_is_read_back(self, one: int, other: int):
+        ownership = divide_evenly(LIVES, 3).start_move(min(one, other), max(one, other), LIVES[2])
+        assert OwnershipMap.decode(ownership.encode()) == ownership
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"fence":1,"ranges":[[1]]}', b"\xff"])
+    def test_nonsense_is_refused(self, data: bytes):
+        with pytest.raises(ValueError):
+            OwnershipMap.decode(data)
+
+    def test_moving_range_keeps_its_successor(self):
+        ownership = divide_evenly(LIVES, 1).start_move(0, 10, LIVES[1])
+        assert ownership.start_move(0, 10, LIVES[2]).find(5).successor == LIVES[1]
+        assert ownership.redirect(0, LIVES[2]).find(5).successor == LIVES[2]
+
+    def test_only_a_moving_range_finishes(self):
+        ownership = divide_evenly(LIVES, 1)
+        with pytest.raises(ValueError, match="not moving"):
+            ownership.finish_move(ownership.ranges[0], "")
+
+
+class TestHoldLedger:
+    """The latest end of what may still be granted."""
+
+    @given(st.lists(st.tuples(st.integers(0, 20), st.integers(0, 20), st.integers(1, 100))))
+    @settings(max_examples=100, deadline=None)
+    def test_no_grant_is_forgotten_before_its_end(self, grants: list[tuple[int, int, int]]):
+        ledger = HoldLedger(ManualClock())
+        for first, last, hold in grants:
+            ledger.note(LIVES[0], min(first, last), max(first, last), 5, hold)
+        for key in range(21):
+            ends = [5 + h + -(-h * 2 // 100) for a, b, h in grants if min(a, b) <= key <= max(a, b)]
+            assert ledger.until(LIVES[0], key, key) >= max(ends, default=0)
+
+    def test_released_keys_are_free_and_others_stay(self):
+        ledger = HoldLedger(ManualClock())
+        ledger.note(LIVES[0], 0, 100, 0, 1_000)
+        ledger.clear(LIVES[0], 40, 60)
+        assert ledger.until(LIVES[0], 40, 60) == 0
+        assert ledger.until(LIVES[0], 39, 39) == ledger.until(LIVES[0], 61, 61) == 1_020
+
+    def test_grant_that_was_never_sent_is_taken_back(self):
+        ledger = HoldLedger(ManualClock())
+        ledger.note(LIVES[0], 0, 100, 0, 500)
+        before = ledger.note(LIVES[0], 0, 100, 0, 9_000)
+        ledger.restore(LIVES[0], before)
+        assert ledger.until(LIVES[0], 0, 100) == 510
+
+
+def _rates(counts: dict[int, int]) -> KeyRates:
+    load = KeyLoad(ManualClock())
+    load.add(counts)
+    return load.rates()
+
+
+def _carry_out(ownership: OwnershipMap, rates: KeyRates, rounds: int = 20) -> OwnershipMap:
+    capacities = dict.fromkeys(LIVES, 4.0)
+    for _ in range(rounds):
+        for move in BalancedPlanner().plan(Situation(ownership, capacities, rates)):
+            ownership = ownership.start_move(move.first, move.last, move.successor)
+        for item in ownership.ranges:
+            if item.is_moving:
+                ownership = ownership.finish_move(item, "")
+    return ownership
+
+
+def _shares(ownership: OwnershipMap, rates: KeyRates) -> dict[ServerLife, float]:
+    sums = dict.fromkeys(LIVES, 0.0)
+    for item in ownership.ranges:
+        sums[item.owner] += rates.between(item.first, item.last) / rates.total
+    return sums
+
+
+class TestPlanner:
+    """Which ranges move."""
+
+    def test_even_load_moves_nothing(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1))
+        situation = Situation(divide_evenly(LIVES, 1), dict.fromkeys(LIVES, 4.0), rates)
+        assert BalancedPlanner().plan(situation) == ()
+
+    def test_hot_neighbourhood_is_divided(self):
+        # The load of a hot spot: a third of the requests on 200 neighbouring keys.
+        counts = dict.fromkeys(range(0, LAST_KEY, 97), 1) | dict.fromkeys(range(9_000, 9_200), 2)
+        rates = _rates(counts)
+        before = max(_shares(divide_evenly(LIVES, 1), rates).values())
+        after = max(_shares(_carry_out(divide_evenly(LIVES, 1), rates), rates).values())
+        assert before > 0.4
+        assert after < 0.25 * 1.3
+
+    def test_one_hot_key_is_not_tossed_about(self):
+        rates = _rates({5_000: 1_000})
+        settled = _carry_out(divide_evenly(LIVES, 1), rates)
+        situation = Situation(settled, dict.fromkeys(LIVES, 4.0), rates)
+        moves = BalancedPlanner().plan(situation)
+        assert not any(move.first <= 5_000 <= move.last for move in moves)
+
+    def test_lost_server_leaves_everything(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1))
+        capacities = dict.fromkeys(LIVES[1:], 4.0)
+        ownership = divide_evenly(LIVES, 1)
+        for planner in (StayPlanner(), BalancedPlanner()):
+            changed = ownership
+            for move in planner.plan(Situation(ownership, capacities, rates)):
+                changed = changed.start_move(move.first, move.last, move.successor)
+            left = [item for item in changed.of(LIVES[0]) if not item.is_moving]
+            assert not left
+
+    def test_successor_that_is_lost_is_replaced(self):
+        ownership = divide_evenly(LIVES, 1).start_move(0, 100, LIVES[3])
+        capacities = dict.fromkeys(LIVES[:3], 4.0)
+        moves = BalancedPlanner().plan(Situation(ownership, capacities, _rates({})))
+        redirected = [move for move in moves if (move.first, move.last) == (0, 100)]
+        assert redirected and redirected[0].successor != LIVES[3]
+
+    def test_joined_server_gets_a_share_of_an_even_load(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1))
+        situation = Situation(divide_evenly(LIVES[:3], 1), dict.fromkeys(LIVES, 4.0), rates)
+        assert any(move.successor == LIVES[3] for move in BalancedPlanner().plan(situation))
+
+    def test_without_servers_nothing_moves(self):
+        assert BalancedPlanner().plan(Situation(divide_evenly(LIVES, 1), {}, _rates({}))) == ()
+
+
+class TestServiceTimes:
+    """Speeds against the typical server."""
+
+    def test_slow_server_is_slower(self):
+        times = ServiceTimes()
+        for name, mean in (("a", 50.0), ("b", 100.0), ("c", 200.0)):
+            times.add(name, 20, mean)
+        assert times.speeds(("a", "b", "c", "new")) == {"a": 2.0, "b": 1.0, "c": 0.5, "new": 1.0}
+
+
+class Candidate:
+    """One daemon's leadership on the store stand-in."""
+
+    def __init__(self, store: StoreStandIn, vm: str) -> None:
+        self.clock = SystemClock()
+        self.log = StoreClient(endpoint_of(store))
+        self.next = 0
+        self.leadership = Leadership(
+            Term(0, vm, f"run-of-{vm}", "127.0.0.1:1"),
+            self.log,
+            self.clock,
+            random.Random(vm),
+            lambda: True,
+            lambda: self.next,
+            lambda: None,
+        )
+        self.book = OwnershipBook(self.leadership, self.clock)
+        self.tasks = [
+            asyncio.create_task(self.leadership.run()),
+            asyncio.create_task(self._follow()),
+        ]
+
+    async def _follow(self) -> None:
+        while True:
+            page = await self.log.read(STATE_STREAM, self.next, 100)
+            for record in page.records:
+                self.book.take_record(record, False)
+            self.next = page.next
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await self.log.close()
+
+
+@pytest.fixture
+async def store():
+    """Return a running store."""
+    running = StoreStandIn()
+    await running.start()
+    yield running
+    await running.stop()
+
+
+async def _wait_for(condition, timeout: float = 6.0) -> None:
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class TestLeadership:
+    """One daemon leads at a time."""
+
+    async def test_claims_at_the_same_moment_have_one_winner(self, store: StoreStandIn):
+        candidates = [Candidate(store, f"vm-{index}") for index in range(6)]
+        await _wait_for(lambda: any(item.leadership.may_act() for item in candidates))
+        await asyncio.sleep(0.5)
+        leading = [item.leadership.may_act() for item in candidates]
+        assert leading.count(True) == 1
+        assert len({item.leadership.current.number for item in candidates}) == 1
+        for item in candidates:
+            await item.close()
+
+    async def test_earlier_leader_can_write_nothing(self, store: StoreStandIn):
+        first = Candidate(store, "vm-1")
+        await _wait_for(first.leadership.may_act)
+        first.tasks[1].cancel()
+        claim = Term(2, "vm-2", "run-of-vm-2", "127.0.0.1:1")
+        second = Candidate(store, "vm-2")
+        second.leadership.observe(claim.encode())
+        await _wait_for(second.leadership.may_act)
+        with pytest.raises(NotLeading):
+            await first.leadership.append(map_key("stock"), b"late")
+        assert b"late" not in [item[1] for item in _newest(store).values()]
+        await first.close()
+        await second.close()
+
+    async def test_lost_answers_write_once(self, store: StoreStandIn):
+        leader = Candidate(store, "vm-1")
+        await _wait_for(leader.leadership.may_act)
+        store.mode = Mode.LOSING_ANSWERS
+        append = asyncio.create_task(leader.leadership.append(map_key("stock"), b"once"))
+        await asyncio.sleep(0.5)
+        store.mode = Mode.SERVING
+        await append
+        records = store.partition("keyed.ownership").records
+        assert sum(b"once" in record for record in records) == 1
+        await leader.close()
+
+    async def test_lease_ends_when_the_store_is_away(self, store: StoreStandIn):
+        leader = Candidate(store, "vm-1")
+        await _wait_for(leader.leadership.may_act)
+        store.mode = Mode.MANY
+        await _wait_for(lambda: leader.leadership.is_faltering)
+        assert leader.leadership.may_act()
+        await _wait_for(lambda: not leader.leadership.may_act())
+        store.mode = Mode.SERVING
+        await _wait_for(leader.leadership.may_act)
+        await leader.close()
+
+    async def test_resigned_term_is_taken_over_at_once(self, store: StoreStandIn):
+        first = Candidate(store, "vm-1")
+        await _wait_for(first.leadership.may_act)
+        second = Candidate(store, "vm-2")
+        await asyncio.sleep(0.3)
+        first.tasks[0].cancel()
+        await first.leadership.resign()
+        await _wait_for(second.leadership.may_act, 1.0)
+        await first.close()
+        await second.close()
+
+    async def test_silent_leader_that_renews_keeps_its_term(self, store: StoreStandIn):
+        first = Candidate(store, "vm-1")
+        await _wait_for(first.leadership.may_act)
+        second = Candidate(store, "vm-2")
+        await asyncio.sleep(3.5)
+        assert first.leadership.may_act()
+        assert not second.leadership.is_mine
+        await first.close()
+        await second.close()
+
+    async def test_faltering_leader_is_replaced_by_one_that_reaches_the_store(
+        self, store: StoreStandIn
+    ):
+        first = Candidate(store, "vm-1")
+        await _wait_for(first.leadership.may_act)
+        second = Candidate(store, "vm-2")
+        await _wait_for(lambda: second.leadership.current.number == 1)
+        first.log.append = _refuse
+        await _wait_for(lambda: first.leadership.is_faltering)
+        for _ in range(4):
+            second.leadership.hear_leader(1, True)
+            await asyncio.sleep(0.15)
+        await _wait_for(second.leadership.may_act, 1.0)
+        first.leadership.hear_term(2)
+        assert not first.leadership.is_mine
+        await first.close()
+        await second.close()
+
+    def test_broken_term_record_is_passed_over(self):
+        leadership = Leadership(
+            Term(0, "vm"), None, ManualClock(), random.Random(1), bool, int, bool
+        )
+        leadership.observe(Term(3, "other", "run").encode())
+        leadership.observe(b"nonsense")
+        leadership.observe(Term(2, "older", "run").encode())
+        assert leadership.current.vm == "other"
+
+
+async def _refuse(*args, **options):
+    raise AppendRefused("turned away")
+
+
+def _newest(store: StoreStandIn) -> dict:
+    return store.partition("keyed.ownership").newest
+
+
+class FakeGranter(RangeGranter):
+    """Servers as sets of held keys; a test makes them unreachable or silent."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.held: dict[str, dict[tuple[int, int], tuple[int, int]]] = {}
+        self.highest: dict[str, int] = {}
+        self.unreachable: set[str] = set()
+        self.silent: set[str] = set()
+        self.refusing: set[str] = set()
+        self.log: list[tuple] = []
+
+    async def grant(self, address, grant, timeout):
+        self.log.append(("grant", address, grant.first, grant.last, grant.fence, grant.hold))
+        if address in self.unreachable:
+            raise NotDelivered(address)
+        if address in self.refusing:
+            self.refusing.discard(address)
+            raise GrantRefused(address)
+        until = self._clock.now() + grant.hold
+        self.held.setdefault(address, {})[grant.first, grant.last] = (until, grant.fence)
+        if address in self.silent:
+            raise NoAnswer(address)
+
+    async def release(self, address, first, last, fence, timeout):
+        self.log.append(("release", address, first, last, fence))
+        if address in self.unreachable:
+            raise NotDelivered(address)
+        held = self.held.setdefault(address, {})
+        for start, end in list(held):
+            if start <= last and first <= end:
+                del held[start, end]
+        return f"token-{fence}"
+
+    async def can_reach(self, address, timeout):
+        return address not in self.unreachable
+
+    def holders(self, key: int) -> list[str]:
+        now = self._clock.now()
+        return [
+            address
+            for address, ranges in self.held.items()
+            if any(a <= key <= b and until > now for (a, b), (until, _) in ranges.items())
+        ]
+
+
+class FakeLeadership:
+    """A leader whose lease a test controls."""
+
+    def __init__(self) -> None:
+        self.is_mine = True
+        self.has_faltered_long = False
+
+    def may_act(self) -> bool:
+        return self.is_mine
+
+
+class SavedMaps(list):
+    """Maps in the order in which they were saved; while `gate` is set, saving waits for it."""
+
+    gate: asyncio.Event | None = None
+    is_waiting = False
+
+    async def save(self, ownership: OwnershipMap) -> None:
+        if self.gate is not None:
+            self.is_waiting = True
+            await self.gate.wait()
+        self.append(ownership)
+
+
+class TestController:
+    """Grants and moves of one service, on a fast copy of the constants."""
+
+    @pytest.fixture
+    async def parts(self, monkeypatch):
+        for name, value in (
+            ("FIRST_ASSIGN_WAIT", 0),
+            ("GRANT_HOLD", 800),
+            ("UNREACHABLE_MAX", 400),
+            ("GRANT_TIMEOUT", 100),
+            ("LEASE", 100),
+            ("STEP_PERIOD", 10),
+            ("PROBE_PERIOD", 50),
+        ):
+            monkeypatch.setattr(control, name, value)
+        clock = SystemClock()
+        directory = ServerDirectory(clock)
+        for life in LIVES:
+            directory.put(_entry(life))
+        granter, leadership, saved = FakeGranter(clock), FakeLeadership(), SavedMaps()
+
+        built = RangeController(
+            "stock",
+            leadership,
+            directory,
+            granter,
+            BalancedPlanner(),
+            clock,
+            1_500,
+            OwnershipMap(),
+            lambda item: clock.now(),
+            saved.save,
+        )
+        task = asyncio.create_task(built.run())
+        yield granter, leadership, directory, saved
+        task.cancel()
+
+    async def test_every_key_has_one_holder(self, parts):
+        granter, _, _, saved = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        await asyncio.sleep(1.0)
+        assert all(len(granter.holders(key)) == 1 for key in range(0, LAST_KEY, 999))
+        assert len(saved) == 1
+
+    async def test_faltering_leader_grants_for_long(self, parts):
+        granter, leadership, _, _ = parts
+        await _wait_for(lambda: granter.holders(0))
+        leadership.has_faltered_long = True
+        await _wait_for(lambda: granter.log[-1][0] == "grant" and granter.log[-1][5] == 1_500)
+
+    async def test_keys_of_an_unreachable_server_wait_for_its_grants(self, parts):
+        granter, _, _, _ = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        lost = granter.holders(0)[0]
+        granter.unreachable.add(lost)
+        overlaps = []
+
+        async def watch():
+            while True:
+                overlaps.extend(k for k in range(0, 16_000, 999) if len(granter.holders(k)) > 1)
+                await asyncio.sleep(0.005)
+
+        watcher = asyncio.create_task(watch())
+        await _wait_for(lambda: granter.holders(0) and granter.holders(0) != [lost])
+        watcher.cancel()
+        assert not overlaps
+
+    async def test_other_life_of_a_server_frees_its_keys(self, parts):
+        granter, _, directory, _ = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        granter.held.pop("s0:1")
+        directory.put(_entry(ServerLife("s0", 2)))
+        await _wait_for(lambda: granter.holders(0) and granter.holders(0) != ["s0:1"], 0.6)
+
+    async def test_refused_grant_gets_a_greater_fence(self, parts):
+        granter, _, _, saved = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        granter.refusing.add("s1:1")
+        await _wait_for(lambda: len(saved) == 2)
+        assert max(item.fence for item in saved[-1].ranges) > 1
+
+    async def test_range_is_not_renewed_while_its_move_is_being_saved(self, parts):
+        granter, _, directory, saved = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        holding = asyncio.Event()
+        saved.gate = holding
+        leaving = dataclasses.replace(_entry(LIVES[1]), leaving=True)
+        directory.put(leaving)
+        await _wait_for(lambda: saved.is_waiting)
+        await asyncio.sleep(0.15)
+        before = len(granter.log)
+        await asyncio.sleep(0.6)
+        renewed = {entry[1] for entry in granter.log[before:] if entry[0] == "grant"}
+        assert renewed == {"s0:1", "s2:1", "s3:1"}
+        holding.set()
+
+    async def test_nothing_is_ordered_after_the_term(self, parts):
+        granter, leadership, _, _ = parts
+        await _wait_for(lambda: granter.holders(0))
+        leadership.is_mine = False
+        await asyncio.sleep(0.05)
+        before = len(granter.log)
+        await asyncio.sleep(0.5)
+        assert len(granter.log) == before
+
+
+def _entry(life: ServerLife) -> ServerEntry:
+    return ServerEntry(life, "stock", f"{life.server}:{life.born}", "a", 4, False, False)
+
+
+class TestBook:
+    """Ownership as the log shows it."""
+
+    def test_older_map_never_replaces_a_newer_one(self):
+        leadership = Leadership(
+            Term(0, "vm"), None, ManualClock(), random.Random(1), bool, int, bool
+        )
+        book = OwnershipBook(leadership, ManualClock())
+        newer = divide_evenly(LIVES, 1).with_revision(7)
+        book.take_map("stock", newer.encode())
+        book.take_map("stock", divide_evenly(LIVES, 9).with_revision(6).encode())
+        book.take_map("stock", b"nonsense")
+        assert book.find("stock") == newer
+        assert TERM_KEY not in book._maps
