--- /dev/null
+++ b/tests/test_gates.py
@@ -0,0 +1,250 @@
+"""How requests wait, are refused, and share a server; each with the load that it answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from fuchsiatrack.gateway.edge import ReportedLoad
+from fuchsiatrack.gateway.gates import (
+    Claim,
+    ConcurrencyLimit,
+    ServerGate,
+    can_be_served,
+    next_claim,
+)
+from fuchsiatrack.gateway.retrybudget import BudgetTerms, SharedRetryBudget
+from fuchsiatrack.gateway.serverstate import ServerState
+from fuchsiatrack.kernel.clock import Clock, SystemClock
+from fuchsiatrack.routing.refusal import Refusal
+
+
+class ManualClock(Clock):
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.time = 0
+
+    def now(self) -> int:
+        return self.time
+
+
+class TestConcurrencyLimit:
+    """The limit follows what the server reports."""
+
+    def test_falls_while_others_wait_and_rises_again(self):
+        limit = ConcurrencyLimit()
+        for _ in range(20):
+            limit.note_answer(ReportedLoad(4, 9, 4), 12)
+        assert limit.current(12) == 1
+        for _ in range(40):
+            limit.note_answer(ReportedLoad(3, 0, 4), 12)
+        assert limit.current(12) == 12
+
+    def test_never_exceeds_the_share_of_connections(self):
+        limit = ConcurrencyLimit()
+        for _ in range(40):
+            limit.note_answer(None, 5)
+        assert limit.current(5) == 5
+        assert limit.current(1) == 1
+
+    def test_shed_request_lowers_it(self):
+        limit = ConcurrencyLimit()
+        before = limit.current(12)
+        limit.note_shed()
+        assert limit.current(12) < before
+
+    def test_nine_daemons_share_one_busy_server(self):
+        """Nine daemons press on four slots: together they end near slots and one more each."""
+        limits = [ConcurrencyLimit() for _ in range(9)]
+        rng = random.Random(7)
+        for _ in range(400):
+            at_server = sum(limit.current(12) for limit in limits)
+            load = ReportedLoad(min(4, at_server), max(0, at_server - 4), 4)
+            limit = rng.choice(limits)
+            if at_server > 20:
+                limit.note_shed()
+            else:
+                limit.note_answer(load, 12)
+        assert 6 <= sum(limit.current(12) for limit in limits) <= 12
+
+
+class TestOrder:
+    """Who goes first, and who is told to come back."""
+
+    def test_rank_goes_before_age(self):
+        claims = [Claim(2, 100, 1_000), Claim(1, 300, 1_000)]
+        assert next_claim(claims, 0, 50) == 1
+
+    def test_who_can_be_on_time_goes_before_who_is_late(self):
+        claims = [Claim(1, 100, 1_000), Claim(1, 400, 1_000), Claim(1, 300, 1_000)]
+        assert next_claim(claims, 90, 50) == 2
+
+    @pytest.mark.parametrize(
+        ("now", "wait", "served"), [(0, 100, True), (0, 260, False), (290, 500, True)]
+    )
+    def test_wait_is_measured_by_what_can_still_be_kept(self, now: int, wait: int, served: bool):
+        assert can_be_served(Claim(1, 300, 1_200), now, wait, 50) is served
+
+
+class TestServerGate:
+    """Places at one server."""
+
+    async def test_free_place_is_taken_at_once(self):
+        gate = ServerGate(SystemClock())
+        await gate.enter(_claim(300), 4, 50)
+        assert gate.taken == 1
+
+    async def test_hopeless_request_is_refused_at_once_with_a_time_to_return(self):
+        gate = ServerGate(SystemClock())
+        for _ in range(4):
+            await gate.enter(_claim(300), 4, 50)
+        waiting = [asyncio.create_task(_enter(gate, 300, 50)) for _ in range(8)]
+        await asyncio.sleep(0)
+        with pytest.raises(Refusal) as refused:
+            await gate.enter(_claim(120), 4, 50)
+        assert refused.value.retry_after > 0
+        for task in waiting:
+            task.cancel()
+
+    async def test_request_that_waited_too_long_is_refused_before_its_deadline(self):
+        gate = ServerGate(SystemClock())
+        await gate.enter(_claim(300), 1, 20)
+        started = asyncio.get_running_loop().time()
+        with pytest.raises(Refusal):
+            await gate.enter(_claim(150, 2_000), 1, 20)
+        assert asyncio.get_running_loop().time() - started < 1.0
+
+    async def test_higher_rank_overtakes(self):
+        gate = ServerGate(SystemClock())
+        await gate.enter(_claim(900), 1, 10)
+        order: list[int] = []
+        tasks = [asyncio.create_task(_enter(gate, 900, 10, rank, order)) for rank in (2, 2, 0, 1)]
+        await asyncio.sleep(0.01)
+        for _ in range(4):
+            gate.leave(10)
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        assert order == [0, 1, 2, 2]
+
+    async def test_caller_that_leaves_gives_its_place_back(self):
+        gate = ServerGate(SystemClock())
+        await gate.enter(_claim(900), 1, 10)
+        task = asyncio.create_task(_enter(gate, 900, 10, order=[]))
+        await asyncio.sleep(0.01)
+        gate.leave(10)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert (gate.taken, gate.waiting) == (0, 0)
+
+    async def test_overload_serves_what_is_on_time(self):
+        """Twice the load that a server takes: what is served is on time, the rest is told early.
+
+        60 requests come in 300 ms for two places of 20 ms each, with an aim of 150 ms.
+        """
+        gate = ServerGate(SystemClock())
+        loop = asyncio.get_running_loop()
+        served: list[float] = []
+        refused: list[float] = []
+
+        async def request() -> None:
+            started = loop.time()
+            try:
+                await gate.enter(_claim(150, 600), 2, 20)
+            except Refusal:
+                refused.append(loop.time() - started)
+                return
+            await asyncio.sleep(0.02)
+            gate.leave(20)
+            served.append(loop.time() - started)
+
+        tasks = []
+        for _ in range(60):
+            tasks.append(asyncio.create_task(request()))
+            await asyncio.sleep(0.005)
+        await asyncio.gather(*tasks)
+        assert len(served) >= 20
+        assert len(refused) >= 5
+        assert sorted(served)[len(served) * 9 // 10] < 0.3
+
+
+def _claim(on_time: int, deadline: int = 1_200, rank: int = 1) -> Claim:
+    now = SystemClock().now()
+    return Claim(rank, now + on_time, now + deadline)
+
+
+async def _enter(
+    gate: ServerGate, on_time: int, service: int, rank: int = 1, order: list | None = None
+) -> None:
+    await gate.enter(_claim(on_time, rank=rank), 4 if order is None else 1, service)
+    if order is not None:
+        order.append(rank)
+
+
+class TestSharedRetryBudget:
+    """Further sends of all daemons together stay inside one budget."""
+
+    def test_sum_over_daemons_keeps_the_limit_in_every_window(self):
+        clock = ManualClock()
+        terms = BudgetTerms(0.2, 58, 10_000)
+        budgets = [SharedRetryBudget(terms, clock) for _ in range(9)]
+        rng = random.Random(3)
+        sent: list[tuple[int, bool]] = []
+        for step in range(6_000):
+            clock.time = step * 10
+            budget = rng.choice(budgets[:3] if step < 3_000 else budgets)
+            budget.note_request()
+            sent.append((clock.time, False))
+            for _ in range(3):
+                if budget.take(9):
+                    sent.append((clock.time, True))
+        for start in range(0, 50_000, 500):
+            window = [again for at, again in sent if start <= at < start + 10_000]
+            assert sum(window) <= 0.2 * (len(window) - sum(window)) + 58
+
+    def test_lonely_daemon_may_use_the_fixed_part(self):
+        budget = SharedRetryBudget(BudgetTerms(0.2, 50, 10_000), ManualClock())
+        assert sum(budget.take(1) for _ in range(100)) == 35
+        assert not budget.take(1)
+
+    def test_old_sends_are_forgotten(self):
+        clock = ManualClock()
+        budget = SharedRetryBudget(BudgetTerms(0.2, 10, 10_000), clock)
+        while budget.take(1):
+            pass
+        clock.time = 20_000
+        assert budget.take(1)
+
+
+class TestServerState:
+    """Which server looks best."""
+
+    def test_server_that_fails_fast_looks_worse_than_a_slow_one(self):
+        """A server that refuses a part of its requests at once must not attract the others."""
+        grey, slow = ServerState(4), ServerState(4)
+        for step in range(20):
+            grey.note_answer(2, step % 2 == 0, step * 50)
+            slow.note_answer(150, True, step * 50)
+        assert grey.expected_time(1_000) > 0
+        assert grey.failure_share(1_000) > 0.2
+        assert slow.failure_share(1_000) == 0
+
+    def test_failures_are_forgiven(self):
+        state = ServerState(4)
+        for _ in range(10):
+            state.note_failure(0)
+        assert state.failure_share(10_000) < 0.05
+
+    def test_reported_load_fades(self):
+        state = ServerState(4)
+        state.note_load(ReportedLoad(4, 8, 4), 0)
+        assert state.queue_length(0) == 12
+        assert state.queue_length(1_500) < 0.1
+
+    def test_taken_times_start_anew(self):
+        state = ServerState(4)
+        state.note_answer(40, True, 0)
+        assert state.take_times() == (1, 40.0)
+        assert state.take_times() == (0, 0.0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,346 @@
+"""Translation of the users' platform: settings, store, records, headers, names."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from fuchsiatrack.control.keyedlog import ConditionFailed, Fenced, KeyedRecord, Stream, Writer
+from fuchsiatrack.gateway.edge import BadRequest, ReportedLoad
+from fuchsiatrack.gateway.settings import Endpoint, SettingsError
+from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable, RecordsExpired
+from fuchsiatrack.platform import records
+from fuchsiatrack.platform.edge import PlatformEdge
+from fuchsiatrack.platform.settings import METRICS_PORT, load_settings
+from fuchsiatrack.platform.store import StoreClient
+from fuchsiatrack_standins.fleet.store import Mode, StoreStandIn
+from tests.fleet import configuration, endpoint_of, route
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCES = ROOT / "src" / "fuchsiatrack"
+PLATFORM_NAMES = re.compile(
+    r"X-Gateway-Stamp|X-Expect-Instance|X-Not-Executed|X-Shard-Key|X-Instance-|X-Request-Id"
+    r"|X-Deadline-Ms|X-Handover|/-/grant|/-/release|/-/log-|VirtualHosts|PathPrefix|TrafficSplit"
+    r"|keyed\.(op|servers)|ColdRemaining|Terms\.Bounds"
+)
+STREAM = Stream("things")
+
+SETTINGS = """
+Grants = "call"
+Unknown = "is passed over"
+[Self]
+NodeName = "front-a-1"
+Ip = "10.1.0.15"
+Zone = "zone-a"
+[Network]
+InternalPortRange = [7620,7635]
+[Network.Listen]
+Front = "10.1.0.15:8641"
+Ready = "10.1.0.15:8640"
+[Platform.Platform]
+Address = "10.200.1.7:8642"
+[Terms.Bounds]
+Grace = "6s"
+BudgetRatio = 0.2
+BudgetWindow = "10s"
+BudgetSlack = 58
+MaxHold = "10000ms"
+"""
+
+
+class TestNames:
+    """The platform's names stay in one folder."""
+
+    def test_no_name_of_the_platform_is_used_elsewhere(self):
+        found = [
+            f"{path.relative_to(SOURCES)}: {match[0]}"
+            for path in SOURCES.rglob("*.py")
+            if path.parent.name != "platform"
+            for match in PLATFORM_NAMES.finditer(path.read_text())
+        ]
+        assert found == []
+
+    def test_deploy_file_names_the_metrics_port(self):
+        assert f'metrics = "{METRICS_PORT}/' in (ROOT / "deploy" / "system.toml").read_text()
+
+
+class TestSettings:
+    """The settings file of the platform."""
+
+    def test_fields_are_translated(self, tmp_path: pathlib.Path):
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS)
+        loaded = load_settings(path)
+        assert loaded.callers == Endpoint("10.1.0.15", 8641)
+        assert loaded.reports == Endpoint("10.1.0.15", 7620)
+        assert (loaded.stop_grace, loaded.max_hold, loaded.retry_fixed) == (6_000, 10_000, 58)
+
+    @pytest.mark.parametrize(
+        ("old", "new", "said"),
+        [
+            ('Grace = "6s"', 'Grace = "6 seconds"', "Terms.Bounds.Grace.*'6 seconds'"),
+            ('Grace = "6s"', "", "Terms.Bounds.Grace"),
+            ('Zone = "zone-a"', "Zone = 3", "Self.Zone.*3"),
+            ("BudgetRatio = 0.2", "BudgetRatio = true", "BudgetRatio.*True"),
+            ('Front = "10.1.0.15:8641"', 'Front = "here"', "Network.Listen.Front.*'here'"),
+            ("[7620,7635]", "[7620]", "InternalPortRange"),
+            ("[Self]", "[Self", "line|Expected"),
+        ],
+    )
+    def test_fault_names_the_field(self, tmp_path: pathlib.Path, old: str, new: str, said: str):
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS.replace(old, new))
+        with pytest.raises(SettingsError, match=said):
+            load_settings(path)
+
+    def test_missing_file_is_a_fault(self, tmp_path: pathlib.Path):
+        with pytest.raises(SettingsError):
+            load_settings(tmp_path / "none.toml")
+
+
+@pytest.fixture
+async def store():
+    """Return a running store."""
+    running = StoreStandIn()
+    await running.start()
+    yield running
+    await running.stop()
+
+
+@pytest.fixture
+async def client(store: StoreStandIn):
+    """Return a client of the store."""
+    opened = StoreClient(endpoint_of(store))
+    yield opened
+    await opened.close()
+
+
+class TestStoreClient:
+    """The log on the platform's store."""
+
+    async def test_records_come_back_in_order(self, store, client):
+        await client.append(STREAM, [("a", b"1"), ("b", b"2"), ("a", b"")])
+        page = await client.read(STREAM, 0, 0)
+        assert [(item.key, item.value) for item in page.records] == [
+            ("a", b"1"),
+            ("b", b"2"),
+            ("a", None),
+        ]
+        assert page.next == 3
+
+    async def test_newest_has_each_key_once_over_many_pages(self, store, client):
+        await client.append(STREAM, [(f"k{index:03}", b"old") for index in range(130)])
+        await client.append(STREAM, [(f"k{index:03}", b"new") for index in range(130)])
+        page = await client.newest(STREAM)
+        assert [item.value for item in page.records] == [b"new"] * 130
+        assert page.next == 260
+
+    async def test_newest_of_nothing_is_empty(self, store, client):
+        page = await client.newest(STREAM)
+        assert (page.records, page.next) == ((), 0)
+
+    async def test_condition_decides(self, store, client):
+        assert await client.append(STREAM, [("a", b"1")], at=0) == 1
+        with pytest.raises(ConditionFailed):
+            await client.append(STREAM, [("a", b"2")], at=0)
+
+    async def test_greater_epoch_fences(self, store, client):
+        await client.append(STREAM, [("a", b"1")], writer=Writer("w", 1, 0))
+        await client.append(STREAM, (), writer=Writer("w", 2, 0))
+        with pytest.raises(Fenced):
+            await client.append(STREAM, [("a", b"2")], writer=Writer("w", 1, 1))
+
+    async def test_repeat_appends_once(self, store, client):
+        writer = Writer("w", 1, 4)
+        first = await client.append(STREAM, [("a", b"1")], writer=writer)
+        assert await client.append(STREAM, [("a", b"1")], writer=writer) == first
+        assert (await client.read(STREAM, 0, 0)).next == 1
+
+    async def test_expired_records_are_told(self, store, client):
+        await client.append(STREAM, [("a", b"1")])
+        store.partition("keyed.things").expire()
+        with pytest.raises(RecordsExpired) as told:
+            await client.read(STREAM, 0, 0)
+        assert told.value.first == 1
+
+    async def test_poll_answers_with_the_record(self, store, client):
+        import asyncio
+
+        poll = asyncio.create_task(client.read(STREAM, 0, 5_000))
+        await asyncio.sleep(0.1)
+        await client.append(STREAM, [("a", b"1")])
+        assert (await asyncio.wait_for(poll, 1)).next == 1
+
+    @pytest.mark.parametrize("mode", [Mode.BUSY, Mode.MANY])
+    async def test_refused_append_did_nothing(self, store, client, mode: Mode):
+        store.mode = mode
+        with pytest.raises(AppendRefused):
+            await client.append(STREAM, [("a", b"1")])
+        with pytest.raises(PlatformUnavailable):
+            await client.read(STREAM, 0, 0)
+        with pytest.raises(PlatformUnavailable):
+            await client.newest(STREAM)
+
+    async def test_lost_answer_is_no_refusal(self, store, client):
+        store.mode = Mode.LOSING_ANSWERS
+        with pytest.raises(PlatformUnavailable):
+            await client.append(STREAM, [("a", b"1")])
+
+
+def _config_record(body: object, key: str = "config") -> KeyedRecord:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return KeyedRecord(key, data, 0)
+
+
+def _entry(**changes: object) -> dict:
+    fields = {
+        "Address": "10.0.0.1:80",
+        "born": 17,
+        "Info": {"Service": "s", "Version": "v1", "Zone": "z", "Slots": 4},
+        "Status": {"State": "ready", "Sequence": 4, "ColdRemaining": "1.5s"},
+    }
+    return {**fields, **changes}
+
+
+class TestRecords:
+    """What operators and servers write."""
+
+    def test_configuration_is_decoded(self):
+        body = configuration(0x1F, [route("r", "/a/", "safe", "s")], sharded=("s",))
+        table = records.decode_configuration(_config_record(body))
+        assert table.version == 0x1F
+        assert table.services["s"].keyed
+        found = table.find("shop.example", "/a/b")
+        assert (found.idempotent, found.timeout, found.max_servers) == (True, 2_000, 2)
+        assert table.find("shop.example", "/a") is None
+
+    @pytest.mark.parametrize("kind", ["unsafe", "upload"])
+    def test_only_safe_requests_may_be_repeated(self, kind: str):
+        body = configuration(1, [route("r", "/a/", kind, "s")])
+        assert not records.decode_configuration(_config_record(body)).routes[0].idempotent
+
+    def test_longest_prefix_wins(self):
+        body = configuration(1, [route("r", "/", "safe", "s"), route("q", "/a/b/", "safe", "s")])
+        table = records.decode_configuration(_config_record(body))
+        assert table.find("SHOP.example", "/a/b/c").name == "q"
+        assert table.find("shop.example", "/a/bc").name == "r"
+        assert table.find("other.example", "/a/b/c") is None
+
+    def test_other_keys_are_no_configuration(self):
+        assert records.decode_configuration(_config_record({}, key="else")) is None
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"RouteType": "perhaps"},
+            {"Service": "unknown"},
+            {"Timeout": "-1s"},
+            {"MaxAttempts": 0},
+            {"Priority": "1"},
+            {"PathPrefix": "/a"},
+            {"TrafficSplit": []},
+            {"TrafficSplit": [{"Service": "s", "Weight": -1}]},
+        ],
+    )
+    def test_broken_route_is_refused(self, change: dict):
+        body = configuration(1, [route("r", "/a/", "safe", "s")])
+        body["VirtualHosts"][0]["Paths"][0].update(change)
+        with pytest.raises(ValueError):
+            records.decode_configuration(_config_record(body))
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_refused_or_decoded(self, data: bytes):
+        for decode in (records.decode_configuration, records.decode_server):
+            with pytest.raises(ValueError):
+                decode(_config_record(data))
+
+    def test_server_is_decoded(self):
+        entry = records.decode_server(KeyedRecord("i-1", json.dumps(_entry()).encode(), 3))
+        assert (entry.id, entry.life.born, entry.service) == ("i-1", 17, "s")
+        assert entry.cold and not entry.leaving
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"Address": "nowhere"},
+            {"Address": None},
+            {"born": 1.5},
+            {"born": "17"},
+            {"born": True},
+            {"Info": {"Service": "s"}},
+            {"Info": []},
+            {"Status": {"State": "asleep", "ColdRemaining": "0ms"}},
+            {"Status": {"State": "ready", "ColdRemaining": 0}},
+        ],
+    )
+    def test_forged_entry_names_no_server(self, change: dict):
+        data = json.dumps(_entry(**change)).encode()
+        with pytest.raises(ValueError):
+            records.decode_server(KeyedRecord("i-1", data, 0))
+
+
+def _headers(**values: str) -> CIMultiDictProxy[str]:
+    pairs = ((name.replace("_", "-"), value) for name, value in values.items())
+    return CIMultiDictProxy(CIMultiDict(pairs))
+
+
+class TestEdge:
+    """Headers of requests and answers."""
+
+    def test_terms_of_a_request(self):
+        terms = PlatformEdge().read_request(
+            _headers(X_Request_Id="r", X_Deadline_Ms="250", X_Shard_Key="65535")
+        )
+        assert (terms.request_id, terms.time_left, terms.key) == ("r", 250, 65_535)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {},
+            {"X_Request_Id": "r", "X_Deadline_Ms": "-1"},
+            {"X_Request_Id": "r", "X_Deadline_Ms": "1e3"},
+            {"X_Request_Id": "r", "X_Shard_Key": "65536"},
+            {"X_Request_Id": "r", "X_Shard_Key": "٣"},
+        ],
+    )
+    def test_broken_request_is_refused(self, headers: dict[str, str]):
+        with pytest.raises(BadRequest):
+            PlatformEdge().read_request(_headers(**headers))
+
+    def test_headers_of_one_connection_stay_behind(self):
+        received = _headers(
+            Connection="close, X-Private", X_Private="1", X_Public="2", Keep_Alive="timeout=3"
+        )
+        sent = PlatformEdge().request_headers(received, 90, "i-1")
+        assert dict(sent) == {
+            "X-Public": "2",
+            "X-Deadline-Ms": "90",
+            "X-Expect-Instance": "i-1",
+        }
+
+    def test_terms_of_an_answer(self):
+        edge = PlatformEdge()
+        said = edge.read_answer(
+            200, _headers(X_Request_Id="r", X_Gateway_Stamp="s", X_Instance_Load="1,2,4")
+        )
+        assert said.is_genuine and not said.not_run
+        assert said.load == ReportedLoad(1, 2, 4)
+        assert edge.read_answer(421, _headers()).wrong_server
+        assert edge.read_answer(503, _headers(X_Not_Executed="1")).not_run
+        assert not edge.read_answer(503, _headers()).not_run
+        encoded = _headers(X_Gateway_Stamp="s", Content_Encoding="gzip")
+        assert not edge.read_answer(200, encoded).is_genuine
+
+    @pytest.mark.parametrize("text", ["", "1,2", "a,b,c", "1,2,-3", "1,2,3,4"])
+    def test_nonsense_is_no_load(self, text: str):
+        assert PlatformEdge().read_answer(200, _headers(X_Instance_Load=text)).load is None
+
+    def test_time_to_come_back_is_in_seconds(self):
+        assert PlatformEdge().refusal_headers("r", 150)["Retry-After"] == "0.150"
+        assert "Retry-After" not in PlatformEdge().refusal_headers("r", 0)
