--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -60,6 +60,7 @@
         self._by_service: dict[str, tuple[ServerEntry, ...]] = {}
         self._lapsed: dict[str, int] = {}
         self._leaving_since: dict[str, int] = {}
+        self._impostors: dict[ServerLife, str] = {}
         self._former: dict[ServerLife, ServerEntry] = {}
         self.changed: Subject[str] = Subject()
 
@@ -76,6 +77,17 @@
         """Return the listed servers of *service*, by id."""
         return self._by_service.get(service, ())
 
+    def note_impostor(self, entry: ServerEntry) -> None:
+        """Take in that another server answers at the address of *entry*."""
+        if self._entries.get(entry.id) == entry and entry.life not in self._impostors:
+            self._impostors[entry.life] = entry.address
+            log.warning("address is another server's", extra=_describe(entry))
+            self.changed.on_next(entry.id)
+
+    def is_replaced(self, entry: ServerEntry) -> bool:
+        """Tell whether another server was found at the address of *entry*."""
+        return self._impostors.get(entry.life) == entry.address
+
     def leaving_for(self, server: str) -> int:
         """Return for how long *server* has been known to leave, in milliseconds; 0 if it stays."""
         since = self._leaving_since.get(server)
@@ -97,15 +109,7 @@
         else:
             self._leaving_since.pop(entry.id, None)
         self._index({entry.service} | ({old.service} if old else set()))
-        fields = {
-            "server": entry.id,
-            "service": entry.service,
-            "address": entry.address,
-            "born": entry.life.born,
-            "leaving": entry.leaving,
-            "known_before": old is not None,
-        }
-        log.info("server listed", extra=fields)
+        log.info("server listed", extra={**_describe(entry), "known_before": old is not None})
         self.changed.on_next(entry.id)
 
     def remove(self, server: str, outage: bool) -> None:
@@ -140,6 +144,7 @@
         self._lapsed.pop(server, None)
         self._leaving_since.pop(server, None)
         entry = self._entries.pop(server)
+        self._impostors.pop(entry.life, None)
         self._remember(entry)
         self._index({entry.service})
         log.info("server gone", extra={"server": server, "service": entry.service})
@@ -158,3 +163,14 @@
                     key=lambda entry: entry.id,
                 )
             )
+
+
+def _describe(entry: ServerEntry) -> dict[str, object]:
+    """Return the fields of a log line about *entry*."""
+    return {
+        "server": entry.id,
+        "service": entry.service,
+        "address": entry.address,
+        "born": entry.life.born,
+        "leaving": entry.leaving,
+    }
--- a/src/fuchsiatrack/gateway/choosers.py
+++ b/src/fuchsiatrack/gateway/choosers.py
@@ -22,8 +22,10 @@
 # When a caller may come back while a key has no owner, in milliseconds.
 OWNER_RETRY_AFTER = 300
 # Added to the expected time of a server in another failure domain, in milliseconds for each
-# kilobyte of the request's body, since traffic between failure domains is paid for.
-FOREIGN_COST_PER_KB = 0.4
+# kilobyte of the request and its answer, since traffic between failure domains is paid for: a
+# kilobyte costs about as much as three milliseconds of an answer that counts for 300.
+FOREIGN_COST_PER_KB = 3.0
+# Added for the longer way, in milliseconds.
 FOREIGN_COST = 2.0
 
 
@@ -49,6 +51,10 @@
     def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
         """Tell whether *entry*, which was chosen a while ago, may still get the request."""
 
+    @abc.abstractmethod
+    async def wait_for_news(self, wanted: Wanted, timeout: int) -> None:
+        """Wait until another choice may be better, for at most *timeout* milliseconds."""
+
 
 class BalancedChooser(ServerChooser):
     """The server that should answer first, for services whose servers are alike."""
@@ -69,7 +75,7 @@
 
     async def choose(self, wanted: Wanted) -> ServerEntry:
         listed = self._directory.of_service(wanted.service)
-        ready = [entry for entry in listed if not entry.leaving]
+        ready = [entry for entry in listed if self._may_serve(entry)]
         usable = [entry for entry in ready if entry.id not in wanted.avoid]
         if not usable:
             raise Refusal(Reason.NO_SERVER, retry_after=OWNER_RETRY_AFTER)
@@ -77,13 +83,20 @@
 
     def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
         found = self._directory.find(entry.id)
-        return found is not None and found.life == entry.life and not found.leaving
+        return found is not None and found.life == entry.life and self._may_serve(found)
+
+    async def wait_for_news(self, wanted: Wanted, timeout: int) -> None:
+        return
+
+    def _may_serve(self, entry: ServerEntry) -> bool:
+        return not entry.leaving and not self._directory.is_replaced(entry)
 
     def _cost(self, entry: ServerEntry, wanted: Wanted) -> float:
         state = self._states.get(entry.id, entry.slots)
         cost = state.expected_time(self._clock.now()) * (2.0 if entry.cold else 1.0)
         if entry.failure_domain != self._failure_domain:
-            cost += FOREIGN_COST + FOREIGN_COST_PER_KB * wanted.body_size / 1_024
+            size = wanted.body_size + self._states.answer_size(wanted.service)
+            cost += FOREIGN_COST + FOREIGN_COST_PER_KB * size / 1_024
         # Daemons that know the same would otherwise all choose the same server.
         return cost * self._rng.uniform(0.85, 1.15)
 
@@ -115,6 +128,9 @@
     def is_current(self, entry: ServerEntry, wanted: Wanted) -> bool:
         return wanted.key is not None and self._owner(wanted.service, wanted.key) == entry
 
+    async def wait_for_news(self, wanted: Wanted, timeout: int) -> None:
+        await self._wait_for_change(timeout)
+
     def _wait_until(self, service: str, key: int) -> int:
         """Return how long waiting makes sense; a move that drags on may take seconds more."""
         owned = self._book.find(service).find(key)
@@ -129,6 +145,8 @@
         entry = self._directory.find(owned.owner.server)
         if entry is None or entry.life != owned.owner or entry.service != service:
             return None
+        if self._directory.is_replaced(entry):
+            return None
         return entry if self._directory.leaving_for(entry.id) < LEAVING_MAX else None
 
     async def _wait_for_change(self, timeout: int) -> None:
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -192,12 +192,14 @@
             links=self._links,
             states=self._states,
             gates=self._gates,
+            directory=self._directory,
             table=lambda: self._configuration.table,
             is_ready=lambda: self.is_ready,
             chooser=self._chooser,
             budget=self._budget,
             daemons=lambda: self._ranges.daemons,
             note_key=self._ranges.note_key,
+            note_misrouted=self._ranges.note_misrouted,
             body_idle_timeout=BODY_IDLE_TIMEOUT,
         )
 
--- a/src/fuchsiatrack/gateway/edge.py
+++ b/src/fuchsiatrack/gateway/edge.py
@@ -36,7 +36,8 @@
     """What a server's answer says besides its body.
 
     `not_run` is the server's word that the request did not and will not run, `wrong_server` that
-    another one answers at this address or holds the key.  `is_genuine` tells whether the answer
+    another one should have got it: with `answered_by` the id of the server at this address, which
+    is the expected one when it only doesn't hold the key.  `is_genuine` tells whether the answer
     bears the server's mark.
     """
 
@@ -44,6 +45,7 @@
     is_genuine: bool
     not_run: bool
     wrong_server: bool
+    answered_by: str
     load: ReportedLoad | None
 
 
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from fuchsiatrack.directory.servers import ServerEntry
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
 from fuchsiatrack.gateway.choosers import ServerChooser, Wanted
 from fuchsiatrack.gateway.edge import AnswerTerms, BadRequest, CallTerms, Edge
 from fuchsiatrack.gateway.gates import Claim, ServerGates
@@ -39,6 +39,9 @@
 ORDER_IDLE_MAX = 1_000
 # Connections of a server that are left for grants, from a leader and from the one before it.
 CONTROL_CONNECTIONS = 4
+# Longest wait for a change of ownership after a server didn't hold the key, in milliseconds: a
+# grant follows its record on the log within a few.
+NEWS_WAIT = 60
 # Pause before another send, in milliseconds; grows with each send.
 RESEND_PAUSE = 4
 # When a caller may come back after its request was refused, in milliseconds.
@@ -59,12 +62,14 @@
     links: LinkPool
     states: ServerStates
     gates: ServerGates
+    directory: ServerDirectory
     table: Callable[[], RouteTable | None]
     is_ready: Callable[[], bool]
     chooser: Callable[[str], ServerChooser]
     budget: Callable[[str], SharedRetryBudget]
     daemons: Callable[[], int]
     note_key: Callable[[str, int], None]
+    note_misrouted: Callable[[], None]
     body_idle_timeout: int
 
 
@@ -172,6 +177,8 @@
                 return await self._send(entry, route, terms, wanted)
             except Refusal as refusal:
                 await self._prepare_resend(refusal, route, service, entry)
+                if refusal.reason is Reason.MOVED:
+                    await chooser.wait_for_news(wanted, NEWS_WAIT)
 
     async def _prepare_resend(
         self, refusal: Refusal, route: Route, service: str, entry: ServerEntry
@@ -282,9 +289,11 @@
             state.note_load(said.load, now)
         gate = parts.gates.get(entry.id)
         if said.not_run and said.request_id in ("", terms.request_id):
-            if not said.wrong_server:
-                gate.limit.note_shed()
-            return self._not_run(said, state.note_answer, elapsed, now)
+            if said.wrong_server:
+                raise self._misrouted(entry, said)
+            gate.limit.note_shed()
+            state.note_answer(elapsed, False, now)
+            raise Refusal(Reason.SHED, retry_after=RETRY_AFTER)
         if said.request_id != terms.request_id:
             state.note_failure(now)
             raise self._broken(Reason.CROSSED, Verdict.MAY_HAVE_RUN)
@@ -292,19 +301,20 @@
             state.note_failure(now)
             raise self._broken(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN)
         state.note_answer(elapsed, answer.status < 500, now)
+        parts.states.note_answer_size(entry.service, len(answer.body))
         gate.limit.note_answer(said.load, self._connection_share(entry.service))
         if answer.status >= 500 and route.idempotent and self.outcome.sends < route.max_servers:
             self._failed_answer = self._pass_on(answer)
             raise self._broken(Reason.SERVER_ERROR, Verdict.RAN)
         return self._pass_on(answer)
 
-    def _not_run(
-        self, said: AnswerTerms, note: Callable[[int, bool, int], None], elapsed: int, now: int
-    ) -> web.Response:
-        if said.wrong_server:
-            raise Refusal(Reason.MOVED, retry_after=RETRY_AFTER)
-        note(elapsed, False, now)
-        raise Refusal(Reason.SHED, retry_after=RETRY_AFTER)
+    def _misrouted(self, entry: ServerEntry, said: AnswerTerms) -> Refusal:
+        """Return what a server's word means that another one should have got the request."""
+        if said.answered_by not in ("", entry.id):
+            self._parts.directory.note_impostor(entry)
+            return Refusal(Reason.IMPOSTOR, retry_after=RETRY_AFTER)
+        self._parts.note_misrouted()
+        return Refusal(Reason.MOVED, retry_after=RETRY_AFTER)
 
     def _broken(self, reason: Reason, verdict: Verdict) -> Refusal:
         return Refusal(reason, verdict, retry_after=RETRY_AFTER)
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -35,7 +35,9 @@
 WATCH_PERIOD = 50
 # Pause between reads of ownership from the log, in milliseconds; the leader's updates come by
 # datagram, and the log is where a missed one is found.
-OWNERSHIP_PAUSE = 1_000
+OWNERSHIP_PAUSE = 3_000
+# Least time between reads after requests that reached the wrong server, in milliseconds.
+MISROUTED_PAUSE = 300
 # Without a reply of the leader for this long, nobody tells of missed records, in milliseconds.
 PEERS_TIMEOUT = 1_200
 PLANNER = "balanced"
@@ -74,6 +76,7 @@
         self._counts: dict[str, collections.Counter[int]] = {}
         self._channel = ReportChannel(self._take_report, self._take_reply, self._take_update)
         self._heard_at = clock.now()
+        self._misrouted_at = 0
         self._told_term = 0
         self._former_address = ""
         self._daemons = settings.expected_daemons
@@ -107,6 +110,13 @@
         """Count a request for *key*."""
         self._counts.setdefault(service, collections.Counter())[key] += 1
 
+    def note_misrouted(self) -> None:
+        """Take in that a server doesn't hold a key, so that this daemon may lack an update."""
+        now = self._clock.now()
+        if now - self._misrouted_at >= MISROUTED_PAUSE:
+            self._misrouted_at = now
+            self._follower.hurry()
+
     async def start(self) -> None:
         """Open the port for reports."""
         loop = asyncio.get_running_loop()
@@ -122,11 +132,13 @@
         if not self.leadership.is_mine:
             return
         self._stop_control()
+        term, addresses = self.leadership.current.number, self._members.addresses
         try:
             async with asyncio.timeout(1.0):
                 await self.leadership.resign()
         except TimeoutError:
             log.warning("term could not be resigned")
+        self._channel.send_replies(Reply(term, len(addresses), faltering=True), addresses)
 
     def close(self) -> None:
         """Stop control and give back the port."""
--- a/src/fuchsiatrack/gateway/serverstate.py
+++ b/src/fuchsiatrack/gateway/serverstate.py
@@ -10,6 +10,8 @@
 # Service time that is assumed of a server before its first answer, in milliseconds.
 FIRST_LATENCY = 50.0
 LATENCY_GAIN = 0.15
+# Weight of one answer in the mean size of a service's answers.
+ANSWER_SIZE_GAIN = 0.05
 # A reported load loses half of its say in this time, in milliseconds: about one service time.
 REPORT_HALF_LIFE = 150
 # Weight of one outcome in the moving share of failures.
@@ -88,11 +90,21 @@
 
 
 class ServerStates:
-    """The states of all servers by id."""
+    """The states of all servers by id, and the mean size of each service's answers."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._states: dict[str, ServerState] = {}
+        self._answer_sizes: dict[str, float] = {}
+
+    def note_answer_size(self, service: str, size: int) -> None:
+        """Take in the size of an answer's body, in bytes."""
+        mean = self._answer_sizes.get(service, float(size))
+        self._answer_sizes[service] = mean + ANSWER_SIZE_GAIN * (size - mean)
+
+    def answer_size(self, service: str) -> float:
+        """Return the mean size of the answers of *service*, in bytes; 0 before the first."""
+        return self._answer_sizes.get(service, 0.0)
 
     def get(self, server: str, slots: int) -> ServerState:
         """Return the state of *server*, a new one when nothing is known."""
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -238,7 +238,15 @@
     def publish(self, update: OwnershipUpdate, addresses: Iterable[tuple[str, int]]) -> None:
         """Send *update* to each of *addresses*; daemons that miss it read the log."""
         data = update.encode()
-        if self._transport is None or self._transport.is_closing() or len(data) > DATAGRAM_MAX:
+        if len(data) <= DATAGRAM_MAX:
+            self._send_to_all(data, addresses)
+
+    def send_replies(self, reply: Reply, addresses: Iterable[tuple[str, int]]) -> None:
+        """Send *reply* to each of *addresses*, unasked."""
+        self._send_to_all(reply.encode(), addresses)
+
+    def _send_to_all(self, data: bytes, addresses: Iterable[tuple[str, int]]) -> None:
+        if self._transport is None or self._transport.is_closing():
             return
         for address in addresses:
             self._transport.sendto(data, address)
--- a/src/fuchsiatrack/platform/edge.py
+++ b/src/fuchsiatrack/platform/edge.py
@@ -20,6 +20,7 @@
 DEADLINE = "X-Deadline-Ms"
 KEY = "X-Shard-Key"
 EXPECTED_SERVER = "X-Expect-Instance"
+ANSWERING_SERVER = "X-Instance-Id"
 # Signature of the instance that ran the request.
 STAMP = "X-Gateway-Stamp"
 NOT_RUN = "X-Not-Executed"
@@ -53,6 +54,7 @@
             is_genuine=STAMP in headers and "Content-Encoding" not in headers,
             not_run=NOT_RUN in headers or wrong_server,
             wrong_server=wrong_server,
+            answered_by=headers.get(ANSWERING_SERVER, ""),
             load=_load(headers.get(LOAD, "")),
         )
 
--- a/src/fuchsiatrack/routing/refusal.py
+++ b/src/fuchsiatrack/routing/refusal.py
@@ -30,6 +30,7 @@
     REPEATED_ORDER = ("repeated-order", 409)
     DEADLINE = ("deadline", 504)
     MOVED = ("moved", 503)
+    IMPOSTOR = ("address-of-another-server", 503)
     STALE = ("stale-choice", 503)
     CONNECTION = ("connection", 502)
     TRUNCATED = ("truncated-answer", 502)
--- a/src/fuchsiatrack_standins/fleet/instance.py
+++ b/src/fuchsiatrack_standins/fleet/instance.py
@@ -68,6 +68,7 @@
         self.highest: dict[tuple[int, int], int] = {}
         self.status = 200
         self.shed_all = False
+        self.misrouted = 0
         self.answer = None
         self.address = ""
         self.connections_opened = 0
@@ -159,7 +160,9 @@
         expected = request.headers.get("X-Expect-Instance", self.id)
         key = int(request.headers["X-Shard-Key"]) if "X-Shard-Key" in request.headers else None
         if expected != self.id or (self.keyed and (key is None or not self.holds(key))):
-            return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
+            self.misrouted += 1
+            refusal = {"X-Not-Executed": "1", "X-Instance-Id": self.id}
+            return web.Response(status=421, headers={**headers, **refusal})
         if self.shed_all or self._waiting >= QUEUE_PLACES:
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         body = await request.read()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -266,6 +266,14 @@
         assert status == 503
         assert not _runs(fleet, "booking")
 
+    async def test_address_of_another_server_is_tried_once(self, fleet: Fleet):
+        """Arrivals there count against the other service's budget of further sends."""
+        taken = fleet.servers["booking-0"]
+        taken.id = "someone-else"
+        for _ in range(30):
+            assert (await fleet.call("/orders/", method="POST"))[0] == 200
+        assert taken.misrouted <= 1
+
     async def test_entries_that_lapse_in_an_outage_are_kept_for_a_while(self, fleet: Fleet):
         from fuchsiatrack_standins.fleet.store import Mode
 
