Bound what a former leader may have granted by its own last word

Four of the lost servers answered release with 400: their addresses had gone to servers of another service, which proves that they have ended.

Ruled out: a shorter wait without proof.

Change: a leader that is told of a later term, or resigns, says for how long its long grants last, and its successor counts only that and a usual grant. Long grants last 7.5 s instead of 10 s. A life has ended when a later server is listed at its address.

--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -88,6 +88,21 @@
         """Tell whether another server was found at the address of *entry*."""
         return self._impostors.get(entry.life) == entry.address
 
+    def has_ended(self, life: ServerLife) -> bool:
+        """Tell whether *life* is certainly over.
+
+        That is so when the server has started again, or a later one has its address: addresses
+        are given to others only after their servers have ended.
+        """
+        entry = self._entries.get(life.server)
+        if entry is not None and entry.life != life:
+            return entry.life.born > life.born
+        known = entry or self.last_known(life)
+        if known is None:
+            return False
+        later = (other for other in self._entries.values() if other.address == known.address)
+        return any(other.id != life.server and other.life.born > life.born for other in later)
+
     def leaving_for(self, server: str) -> int:
         """Return for how long *server* has been known to leave, in milliseconds; 0 if it stays."""
         since = self._leaving_since.get(server)
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -18,6 +18,7 @@
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.peers.loadreports import (
     REPORT_PERIOD,
+    LastWord,
     LoadReport,
     Members,
     OwnershipUpdate,
@@ -74,7 +75,12 @@
         self._controlled_term = 0
         self._members = Members(clock)
         self._counts: dict[str, collections.Counter[int]] = {}
-        self._channel = ReportChannel(self._take_report, self._take_reply, self._take_update)
+        self._channel = ReportChannel(
+            self._take_report, self._take_reply, self._take_update, self._take_last_word
+        )
+        self._last_word: LastWord | None = None
+        self._ended_at = 0
+        self._former_ends: tuple[int, int] = (0, 0)
         self._heard_at = clock.now()
         self._misrouted_at = 0
         self._told_term = 0
@@ -131,11 +137,11 @@
         """Give up leadership, if held, so that another daemon takes over at once."""
         if not self.leadership.is_mine:
             return
-        self._stop_control()
         term, addresses = self.leadership.current.number, self._members.addresses
+        self._stop_control()
         try:
             async with asyncio.timeout(1.0):
-                await self.leadership.resign()
+                await self.leadership.resign(self._long_for())
         except TimeoutError:
             log.warning("term could not be resigned")
         self._channel.send_replies(Reply(term, len(addresses), faltering=True), addresses)
@@ -175,15 +181,26 @@
             await controller.run()
         except Exception:
             log.exception("control failed; the term is given up")
-            await self.leadership.resign()
+            self._stop_control()
+            await self.leadership.resign(self._long_for())
 
     def _stop_control(self) -> None:
+        if self._controlled_term:
+            ends = max((item.long_for for item in self._controllers.values()), default=0)
+            self._last_word = LastWord(self._controlled_term, ends)
+            self._ended_at = self._clock.now()
         for task in self._control.values():
             task.cancel()
         self._control.clear()
         self._controllers.clear()
         self._controlled_term = 0
 
+    def _long_for(self) -> int:
+        """Return for how long grants of the term that this daemon has just ended may last."""
+        if self._last_word is None:
+            return 0
+        return max(0, self._last_word.long_for - (self._clock.now() - self._ended_at))
+
     def _create_controller(self, service: str) -> RangeController:
         async def save(ownership: OwnershipMap) -> None:
             value = ownership.encode()
@@ -194,7 +211,7 @@
             self._channel.publish(update, self._members.addresses)
 
         planner: type[BalancedPlanner] = registry.find("range_planner", PLANNER)
-        return RangeController(
+        controller = RangeController(
             service,
             self.leadership,
             self._directory,
@@ -206,6 +223,10 @@
             functools.partial(self.book.moving_since, service),
             save,
         )
+        former = max(self.leadership.former_long_for, self._former_ends)
+        if former[0] == self.leadership.current.number - 1 > 0:
+            controller.shorten_holds(max(0, former[1] - self._clock.now()))
+        return controller
 
     # Reports
 
@@ -256,8 +277,15 @@
         followers = self._followers.items()
         return {name: item.next for name, item in followers if item is not self._follower}
 
-    def _take_report(self, report: LoadReport, address: tuple[str, int] | None) -> Reply | None:
+    def _take_report(
+        self, report: LoadReport, address: tuple[str, int] | None
+    ) -> Reply | LastWord | None:
         self.leadership.hear_term(report.term)
+        if not self.leadership.is_mine and self._controlled_term:
+            self._stop_control()
+        last_word = self._last_word
+        if last_word is not None and last_word.term < report.term:
+            return LastWord(last_word.term, self._long_for())
         if not self.leadership.may_act() or report.term != self.leadership.current.number:
             return None
         self._members.note(report.vm)
@@ -272,8 +300,18 @@
         faltering = self.leadership.is_faltering
         return Reply(report.term, self._members.count, faltering, self._offsets())
 
-    def _take_reply_of(self, reply: Reply | None) -> None:
-        if reply is not None:
+    def _take_last_word(self, word: LastWord) -> None:
+        """Take in that the leader before this one has stopped."""
+        if word.term != self.leadership.current.number - 1 or self._former_ends[0] == word.term:
+            return
+        self._former_ends = (word.term, self._clock.now() + word.long_for)
+        fields = {"term": word.term, "long_for_ms": word.long_for}
+        log.info("leader before has stopped", extra=fields)
+        for controller in self._controllers.values():
+            controller.shorten_holds(word.long_for)
+
+    def _take_reply_of(self, reply: Reply | LastWord | None) -> None:
+        if isinstance(reply, Reply):
             self._take_reply(reply)
 
     def _take_reply(self, reply: Reply) -> None:
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -120,6 +120,31 @@
             raise ValueError(f"not a reply: {error!r}") from error
 
 
+@dataclasses.dataclass(frozen=True)
+class LastWord:
+    """What the leader of an ended `term` says: it sends nothing more.
+
+    Long grants may last for `long_for` milliseconds more.
+    """
+
+    term: int
+    long_for: int
+
+    def encode(self) -> bytes:
+        """Return the last word as JSON."""
+        body = {"ended_term": self.term, "long_for": self.long_for}
+        return json.dumps(body, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> LastWord:
+        """Return the last word that `encode` wrote; raise ValueError for anything else."""
+        try:
+            body = json.loads(data)
+            return cls(int(body["ended_term"]), int(body["long_for"]))
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"not a last word: {error!r}") from error
+
+
 @dataclasses.dataclass(frozen=True)
 class OwnershipUpdate:
     """A service's ownership map as the leader of `term` has just written it to the log."""
@@ -188,13 +213,15 @@
 
     def __init__(
         self,
-        take_report: Callable[[LoadReport, tuple[str, int]], Reply | None],
+        take_report: Callable[[LoadReport, tuple[str, int]], Reply | LastWord | None],
         take_reply: Callable[[Reply], None],
         take_update: Callable[[OwnershipUpdate], None],
+        take_last_word: Callable[[LastWord], None],
     ) -> None:
         self._take_report = take_report
         self._take_reply = take_reply
         self._take_update = take_update
+        self._take_last_word = take_last_word
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -209,11 +236,14 @@
         if reply and self._transport:
             self._transport.sendto(reply.encode(), addr)
 
-    def _dispatch(self, data: bytes, address: tuple[str, int]) -> Reply | None:
+    def _dispatch(self, data: bytes, address: tuple[str, int]) -> Reply | LastWord | None:
         """Hand a datagram to its taker; the first field tells its kind."""
         if data.startswith(b'{"update_term"'):
             self._take_update(OwnershipUpdate.decode(data))
             return None
+        if data.startswith(b'{"ended_term"'):
+            self._take_last_word(LastWord.decode(data))
+            return None
         if data.startswith(b'{"leader_term"'):
             self._take_reply(Reply.decode(data))
             return None
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -16,7 +16,7 @@
     RangeGrant,
     RangeGranter,
 )
-from fuchsiatrack.ranges.holds import HoldLedger
+from fuchsiatrack.ranges.holds import HoldLedger, longest_hold
 from fuchsiatrack.ranges.load import KeyLoad, ServiceTimes
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.planner import PlannedMove, RangePlanner, Situation
@@ -25,6 +25,9 @@
 # Length of a grant while the log answers, in milliseconds: outlasts the loss of a leader with the
 # takeover, and bounds how long the keys of a lost server wait.
 GRANT_HOLD = 4_000
+# Length of a grant while renewals of the term fail, in milliseconds, if servers take it: outlasts
+# an outage of the log of nine seconds together with the lease.
+LONG_HOLD = 7_500
 # Part of a grant after which it is renewed.
 RENEW_PART = 0.25
 # Longest wait for the answer to a grant, in milliseconds.
@@ -79,7 +82,8 @@
         self._granter = granter
         self._planner = planner
         self._clock = clock
-        self._max_hold = max_hold
+        self._long_hold = min(max_hold, LONG_HOLD)
+        self._long_until = clock.now()
         self._map = ownership
         self._pending: OwnershipMap | None = None
         self._moving_since = moving_since
@@ -96,10 +100,10 @@
         self._probes: dict[ServerLife, asyncio.Task] = {}
         self.load = KeyLoad(clock)
         self.times = ServiceTimes()
+        self._inherit_holds()
 
     async def run(self) -> None:
         """Control until the term ends or the task is cancelled."""
-        self._inherit_holds()
         try:
             while self._leadership.is_mine:
                 await self._step()
@@ -118,7 +122,24 @@
             # A leader renews ranges no longer once it has begun to record that they leave.
             left = self._moving_since(item) + LEASE + GRANT_TIMEOUT
             arrival = min(latest, left) if item.is_moving else latest
-            self._holds.note(item.owner, item.first, item.last, arrival, self._max_hold)
+            self._holds.note(item.owner, item.first, item.last, arrival, self._long_hold)
+        if self._map.ranges:
+            self._long_until = latest + longest_hold(self._long_hold)
+
+    @property
+    def long_for(self) -> int:
+        """For how many milliseconds grants of `LONG_HOLD` may still last, also earlier leaders'."""
+        return max(0, self._long_until - self._clock.now())
+
+    def shorten_holds(self, long_for: int) -> None:
+        """Take in the last word of the leader before, which now sends nothing more.
+
+        Its `long_for` was *long_for* when it said so.
+        """
+        usual = GRANT_TIMEOUT + longest_hold(GRANT_HOLD)
+        latest = self._clock.now() + max(long_for, usual)
+        self._holds.limit(latest)
+        self._long_until = min(self._long_until, latest)
 
     async def _step(self) -> None:
         if not self._leadership.may_act():
@@ -250,7 +271,11 @@
 
     def _hold(self) -> int:
         """Return how long grants last: long ones while renewals of the term fail."""
-        return self._max_hold if self._leadership.has_faltered_long else GRANT_HOLD
+        if not self._leadership.has_faltered_long:
+            return GRANT_HOLD
+        end = self._clock.now() + GRANT_TIMEOUT + longest_hold(self._long_hold)
+        self._long_until = max(self._long_until, end)
+        return self._long_hold
 
     async def _grant_all(self, life: ServerLife, hold: int) -> bool:
         """Grant *life* what it owns; return whether it answered."""
@@ -351,7 +376,7 @@
         Returns None when the term ends first.
         """
         while self._leadership.is_mine:
-            if self._is_another_life(item.owner):
+            if self._directory.has_ended(item.owner):
                 return ""
             if self._clock.now() >= self._holds.until(item.owner, item.first, item.last):
                 return ""
@@ -361,11 +386,6 @@
             await self._clock.sleep(RETRY_PAUSE)
         return None
 
-    def _is_another_life(self, life: ServerLife) -> bool:
-        """Tell whether the server has started again since, so that *life* has ended."""
-        entry = self._directory.find(life.server)
-        return entry is not None and entry.life.born > life.born
-
     async def _try_release(self, item: OwnedRange) -> str | None:
         address = self._address_of(item.owner)
         if address is None or not self._leadership.may_act():
--- a/src/fuchsiatrack/ranges/holds.py
+++ b/src/fuchsiatrack/ranges/holds.py
@@ -11,6 +11,11 @@
 SLOW_CLOCK_PERCENT = 2
 
 
+def longest_hold(hold: int) -> int:
+    """Return how long a grant of *hold* milliseconds can last on a slow server's clock."""
+    return hold + -(-hold * SLOW_CLOCK_PERCENT // 100)
+
+
 @dataclasses.dataclass(frozen=True)
 class _Hold:
     first: int
@@ -38,7 +43,7 @@
         """
         now = self._clock.now()
         before = tuple(self._holds.get(life, ()))
-        until = arrival + hold + -(-hold * SLOW_CLOCK_PERCENT // 100)
+        until = arrival + longest_hold(hold)
         kept = [
             item
             for item in self._holds.get(life, ())
@@ -53,6 +58,13 @@
         """Take back the latest `note` on *life*, whose grant was certainly not sent."""
         self._holds[life] = list(before)
 
+    def limit(self, latest: int) -> None:
+        """Record that nothing that is known now lasts beyond *latest*."""
+        self._holds = {
+            life: [dataclasses.replace(item, until=min(item.until, latest)) for item in holds]
+            for life, holds in self._holds.items()
+        }
+
     def clear(self, life: ServerLife, first: int, last: int) -> None:
         """Record that *life* has given up the keys from *first* to *last*."""
         kept = []
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -61,7 +61,8 @@
 class Term:
     """One leader's time in office; `report_address` is where it takes load reports.
 
-    Terms are numbered from 1; term 0 has no leader.
+    Terms are numbered from 1; term 0 has no leader.  A leader that has `resigned` sends nothing
+    more, and tells for how many milliseconds long grants may last.
     """
 
     number: int = 0
@@ -69,6 +70,7 @@
     incarnation: str = ""
     report_address: str = ""
     resigned: bool = False
+    long_for: int = 0
 
     def encode(self) -> bytes:
         """Return the term as JSON."""
@@ -116,6 +118,8 @@
         self._changed = asyncio.Event()
         self._falters_since: int | None = None
         self._leader_falters_since: int | None = None
+        # The latest term that was resigned, and the moment at which its long grants end.
+        self.former_long_for: tuple[int, int] = (0, 0)
         self.won_at = -1
         self.changed_at = clock.now()
 
@@ -152,6 +156,8 @@
             self.changed_at = self._clock.now()
             self._leader_falters_since = None
             self._falters_since = None
+        if term.resigned and term.number == self._current.number:
+            self.former_long_for = (term.number, self._clock.now() + term.long_for)
         was_mine, self._current = self.is_mine, term
         self._heard_at = self._clock.now()
         self._changed.set()
@@ -222,12 +228,15 @@
                     await self._clock.sleep(APPEND_RETRY if self.may_act() else APPEND_RETRY_LATE)
             raise NotLeading(f"term {writer.epoch}")
 
-    async def resign(self) -> None:
-        """Give up the term, so that another daemon takes over at once."""
+    async def resign(self, long_for: int) -> None:
+        """Give up the term, so that another daemon takes over at once.
+
+        Long grants may last for *long_for* milliseconds more.
+        """
         if not self.is_mine:
             return
         number = self._current.number
-        resigned = dataclasses.replace(self._current, resigned=True)
+        resigned = dataclasses.replace(self._current, resigned=True, long_for=long_for)
         try:
             await self.append(TERM_KEY, resigned.encode())
         except NotLeading:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -302,6 +302,23 @@
         assert headers["Connection"] == "close"
         await stop
 
+    async def test_leader_that_resigns_leaves_no_long_wait(self, fleet: Fleet):
+        await fleet.add_daemon("entry-2")
+        await fleet.wait_ready()
+        lost = fleet.servers["stock-0"]
+        await fleet.stop_daemon("entry-1")
+        fleet.settings.pop("entry-1")
+        second = fleet.daemons["entry-2"]
+        await _wait_for(lambda: second._ranges.leadership.may_act(), 3.0)
+        [controller] = second._ranges._controllers.values()
+        assert controller.long_for < 5_000
+        await lost.stop()
+        lost.grants.clear()
+        keys = range(0, 65_536, 4_096)
+        await _wait_for(
+            lambda: all(any(item.holds(k) for item in fleet.servers.values()) for k in keys), 7.5
+        )
+
     async def test_other_daemon_takes_over_with_the_same_grants(self, fleet: Fleet):
         await fleet.add_daemon("entry-2")
         await fleet.wait_ready()
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -111,6 +111,14 @@
         assert ledger.until(LIVES[0], 40, 60) == 0
         assert ledger.until(LIVES[0], 39, 39) == ledger.until(LIVES[0], 61, 61) == 1_020
 
+    def test_last_word_of_a_leader_limits_what_it_may_have_granted(self):
+        ledger = HoldLedger(ManualClock())
+        ledger.note(LIVES[0], 0, 100, 3_000, 7_500)
+        ledger.note(LIVES[1], 0, 100, 0, 1_000)
+        ledger.limit(4_680)
+        assert ledger.until(LIVES[0], 0, 100) == 4_680
+        assert ledger.until(LIVES[1], 0, 100) == 1_020
+
     def test_grant_that_was_never_sent_is_taken_back(self):
         ledger = HoldLedger(ManualClock())
         ledger.note(LIVES[0], 0, 100, 0, 500)
@@ -310,7 +318,7 @@
         second = Candidate(store, "vm-2")
         await asyncio.sleep(0.3)
         first.tasks[0].cancel()
-        await first.leadership.resign()
+        await first.leadership.resign(0)
         await _wait_for(second.leadership.may_act, 1.0)
         await first.close()
         await second.close()
@@ -505,6 +513,16 @@
         directory.put(_entry(ServerLife("s0", 2)))
         await _wait_for(lambda: granter.holders(0) and granter.holders(0) != ["s0:1"], 0.6)
 
+    async def test_later_server_at_its_address_frees_its_keys(self, parts):
+        granter, _, directory, _ = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        granter.held.pop("s0:1")
+        granter.unreachable.add("s0:1")
+        directory.remove("s0", False)
+        other = dataclasses.replace(_entry(ServerLife("t9", 5)), address="s0:1", service="other")
+        directory.put(other)
+        await _wait_for(lambda: granter.holders(0) and granter.holders(0) != ["s0:1"], 0.5)
+
     async def test_refused_grant_gets_a_greater_fence(self, parts):
         granter, _, _, saved = parts
         await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
