Name the server in grants and releases

A server that crashed behind a cut started again under a new id at its old address; the leader went on renewing the former server's grants there, so another server got keys under a fence that the former had.

Change: grants and releases carry the id of the server that they are for; another one answers 421 and does nothing.

Test: test_server_that_took_an_address_gets_no_grants_of_the_former, red before.

--- a/src/fuchsiatrack/platform/grants.py
+++ b/src/fuchsiatrack/platform/grants.py
@@ -7,6 +7,7 @@
 
 from multidict import CIMultiDict
 
+from fuchsiatrack.directory.servers import ServerEntry
 from fuchsiatrack.gateway.serverlink import (
     ConnectFailed,
     ExchangeFailed,
@@ -15,10 +16,12 @@
     ServerAnswer,
 )
 from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.platform.edge import EXPECTED_SERVER, WRONG_SERVER_STATUS
 from fuchsiatrack.ranges.granting import (
     GrantRefused,
     NoAnswer,
     NotDelivered,
+    OtherServer,
     RangeGrant,
     RangeGranter,
 )
@@ -37,7 +40,7 @@
     def __init__(self, links: LinkPool) -> None:
         self._links = links
 
-    async def grant(self, address: str, grant: RangeGrant, timeout: int) -> None:
+    async def grant(self, server: ServerEntry, grant: RangeGrant, timeout: int) -> None:
         body = {
             "From": grant.first,
             "Target": grant.last,  # the last key, inclusive
@@ -46,17 +49,19 @@
         }
         if grant.handover:
             body["Handover"] = grant.handover
-        answer = await self._post(address, GRANT_PATH, body, timeout)
+        answer = await self._post(server, GRANT_PATH, body, timeout)
         if answer.status == 409:
-            raise GrantRefused(f"{address}: greater fence than {grant.fence} seen")
+            raise GrantRefused(f"{server.address}: greater fence than {grant.fence} seen")
         if answer.status != 200:
-            raise NoAnswer(f"{address}: grant answered {answer.status}")
+            raise NoAnswer(f"{server.address}: grant answered {answer.status}")
 
-    async def release(self, address: str, first: int, last: int, fence: int, timeout: int) -> str:
+    async def release(
+        self, server: ServerEntry, first: int, last: int, fence: int, timeout: int
+    ) -> str:
         body = {"From": first, "Target": last, "fence": fence}
-        answer = await self._post(address, RELEASE_PATH, body, timeout)
+        answer = await self._post(server, RELEASE_PATH, body, timeout)
         if answer.status != 200:
-            raise NoAnswer(f"{address}: release answered {answer.status}")
+            raise NoAnswer(f"{server.address}: release answered {answer.status}")
         return answer.headers.get(HANDOVER, "")
 
     async def can_reach(self, address: str, timeout: int) -> bool:
@@ -67,8 +72,11 @@
         self._links.give_back(address, address, link)
         return True
 
-    async def _post(self, address: str, path: str, body: dict, timeout: int) -> ServerAnswer:
-        headers = CIMultiDict({"Host": address, "Content-Type": "application/json"})
+    async def _post(self, server: ServerEntry, path: str, body: dict, timeout: int) -> ServerAnswer:
+        address = server.address
+        headers = CIMultiDict(
+            {"Host": address, "Content-Type": "application/json", EXPECTED_SERVER: server.id}
+        )
         outgoing = OutgoingRequest("POST", path, headers, json.dumps(body).encode())
         try:
             async with asyncio.timeout(timeout / 1_000):
@@ -82,4 +90,6 @@
         except TimeoutError as error:
             raise NoAnswer(f"{address}: no answer in {timeout} ms") from error
         self._links.give_back(address, address, link)
+        if answer.status == WRONG_SERVER_STATUS:
+            raise OtherServer(f"{address}: another server than {server.id} answers")
         return answer
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -311,7 +311,7 @@
         # Counted before it is sent, since the task may be cancelled on the way.
         before = self._holds.note(entry.life, item.first, item.last, latest, hold)
         try:
-            await self._granter.grant(entry.address, grant, GRANT_TIMEOUT)
+            await self._granter.grant(entry, grant, GRANT_TIMEOUT)
         except NotDelivered:
             self._holds.restore(entry.life, before)
             raise
@@ -387,12 +387,12 @@
         return None
 
     async def _try_release(self, item: OwnedRange) -> str | None:
-        address = self._address_of(item.owner)
-        if address is None or not self._leadership.may_act():
+        server = self._entry(item.owner) or self._directory.last_known(item.owner)
+        if server is None or not self._leadership.may_act():
             return None
         try:
             token = await self._granter.release(
-                address, item.first, item.last, item.next_fence, RELEASE_TIMEOUT
+                server, item.first, item.last, item.next_fence, RELEASE_TIMEOUT
             )
         except (NoAnswer, NotDelivered) as error:
             fields = {"server": item.owner.server, "first": item.first, "why": str(error)}
@@ -402,11 +402,6 @@
         self._note_reached(item.owner)
         return token
 
-    def _address_of(self, life: ServerLife) -> str | None:
-        """Return where *life* answers, also for a while after it is no longer listed."""
-        entry = self._entry(life) or self._directory.last_known(life)
-        return entry.address if entry else None
-
 
 def _apply_moves(current: OwnershipMap, moves: tuple[PlannedMove, ...]) -> OwnershipMap:
     for move in moves:
--- a/src/fuchsiatrack/ranges/granting.py
+++ b/src/fuchsiatrack/ranges/granting.py
@@ -5,6 +5,7 @@
 import abc
 import dataclasses
 
+from fuchsiatrack.directory.servers import ServerEntry
 from fuchsiatrack.kernel.errors import FuchsiatrackError
 
 
@@ -12,6 +13,10 @@
     """The call certainly never reached the server."""
 
 
+class OtherServer(NotDelivered):
+    """Another server has the address, and did nothing."""
+
+
 class NoAnswer(FuchsiatrackError):
     """The call may have reached the server, now or later."""
 
@@ -34,15 +39,18 @@
 class RangeGranter(abc.ABC):
     """Calls the backend servers; `grant` and `release` raise NotDelivered or NoAnswer.
 
-    *timeout* is in milliseconds.
+    Both name the server, so that another one which has its address now does nothing; they raise
+    OtherServer then.  *timeout* is in milliseconds.
     """
 
     @abc.abstractmethod
-    async def grant(self, address: str, grant: RangeGrant, timeout: int) -> None:
+    async def grant(self, server: ServerEntry, grant: RangeGrant, timeout: int) -> None:
         """Grant or renew; raise GrantRefused when the server has seen a greater fence."""
 
     @abc.abstractmethod
-    async def release(self, address: str, first: int, last: int, fence: int, timeout: int) -> str:
+    async def release(
+        self, server: ServerEntry, first: int, last: int, fence: int, timeout: int
+    ) -> str:
         """Stop new work on the keys, wait for running work, and return the handover token."""
 
     @abc.abstractmethod
--- a/src/fuchsiatrack_standins/fleet/instance.py
+++ b/src/fuchsiatrack_standins/fleet/instance.py
@@ -109,6 +109,9 @@
         return any(item.first <= key <= item.last and item.until > now for item in self.grants)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get("X-Expect-Instance", self.id)
+        if request.path.startswith("/-/") and expected != self.id:
+            return web.Response(status=421, headers={"X-Instance-Id": self.id})
         if request.path == "/-/grant":
             return self._grant(await request.json())
         if request.path == "/-/release":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -251,6 +251,13 @@
         joined = await fleet.add_server("stock-9", "stock", keyed=True)
         await _wait_for(lambda: any(joined.holds(key) for key in range(0, 65_536, 64)), 6.0)
 
+    async def test_server_that_took_an_address_gets_no_grants_of_the_former(self, fleet: Fleet):
+        """A grant there would give it keys under a fence that the former server had."""
+        taken = fleet.servers["stock-0"]
+        taken.id, taken.grants, taken.granted = "stock-7", [], []
+        await asyncio.sleep(2.0)
+        assert not taken.granted
+
     async def test_forged_entries_name_no_server(self, fleet: Fleet):
         entry = {"Address": "127.0.0.1:9", "born": 1, "Info": {"Service": "catalogue"}}
         fleet.store.put("keyed.servers", "forged-1", entry)
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -381,7 +381,8 @@
         self.refusing: set[str] = set()
         self.log: list[tuple] = []
 
-    async def grant(self, address, grant, timeout):
+    async def grant(self, server, grant, timeout):
+        address = server.address
         self.log.append(("grant", address, grant.first, grant.last, grant.fence, grant.hold))
         if address in self.unreachable:
             raise NotDelivered(address)
@@ -393,7 +394,8 @@
         if address in self.silent:
             raise NoAnswer(address)
 
-    async def release(self, address, first, last, fence, timeout):
+    async def release(self, server, first, last, fence, timeout):
+        address = server.address
         self.log.append(("release", address, first, last, fence))
         if address in self.unreachable:
             raise NotDelivered(address)
