Split connections, pages and term records into modules with one job

Cause: reading as a newcomer: serverlink.py held two jobs, readiness and metrics listeners stood twice, term.py mixed records with the protocol.

Change: moves only (linkpool.py, pages.py, textmetrics.py, ranges/records.py).

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -17,14 +17,15 @@
 from fuchsiatrack.gateway.choosers import BalancedChooser, OwnerChooser, ServerChooser
 from fuchsiatrack.gateway.forwarder import ForwarderParts
 from fuchsiatrack.gateway.gates import ServerGates
-from fuchsiatrack.gateway.listener import CallerListener, ReadinessListener
-from fuchsiatrack.gateway.metricspage import MetricsPage, TextMetrics
+from fuchsiatrack.gateway.linkpool import LinkPool
+from fuchsiatrack.gateway.listener import CallerListener
+from fuchsiatrack.gateway.pages import MetricsPage, ReadinessPage
 from fuchsiatrack.gateway.rangeservice import RangeService
 from fuchsiatrack.gateway.retrybudget import BudgetTerms, SharedRetryBudget
-from fuchsiatrack.gateway.serverlink import LinkPool
 from fuchsiatrack.gateway.serverstate import ServerStates
-from fuchsiatrack.gateway.settings import GatewaySettings, SettingsError
+from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings, SettingsError
 from fuchsiatrack.gateway.sources import ConfigurationHolder, DirectoryFeed
+from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.routing.refusal import Reason, Refusal
 
@@ -83,7 +84,7 @@
         )
         self._choosers = self._create_choosers()
         self._listener = CallerListener(self._create_parts(), self._metrics)
-        self._readiness = ReadinessListener(lambda: self.is_ready and not self._stop.is_set())
+        self._readiness = ReadinessPage(lambda: self.is_ready and not self._stop.is_set())
         self._metrics_page = MetricsPage(self._metrics, self._gauges)
 
     @property
@@ -101,9 +102,9 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         settings = self._settings
-        await self._readiness.start(settings.readiness.host, settings.readiness.port)
-        await self._listener.start(settings.callers.host, settings.callers.port)
-        await self._metrics_page.start(settings.callers.host, settings.metrics_port)
+        await self._readiness.start(settings.readiness)
+        await self._listener.start(settings.callers)
+        await self._metrics_page.start(Endpoint(settings.callers.host, settings.metrics_port))
         await self._ranges.start()
         log.info("daemon started", extra={"vm": settings.vm, "callers": str(settings.callers)})
         jobs = [*(item.run() for item in self._followers.values()), *self._ranges.jobs()]
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -14,11 +14,11 @@
 from fuchsiatrack.gateway.choosers import ServerChooser, Wanted
 from fuchsiatrack.gateway.edge import AnswerTerms, BadRequest, CallTerms, Edge
 from fuchsiatrack.gateway.gates import Claim, ServerGates
+from fuchsiatrack.gateway.linkpool import LinkPool
 from fuchsiatrack.gateway.retrybudget import SharedRetryBudget
 from fuchsiatrack.gateway.serverlink import (
     ConnectFailed,
     ExchangeFailed,
-    LinkPool,
     OutgoingRequest,
     ServerAnswer,
     ServerLink,
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -1,14 +1,14 @@
-"""The listeners for callers and for the balancer's readiness checks."""
+"""The listener for callers."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from aiohttp import web
 
 from fuchsiatrack.gateway.forwarder import Exchange, ForwarderParts, Outcome
+from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.metrics import Metrics
 
 # Longest time that a caller's idle connection is kept, in seconds; callers close theirs earlier.
@@ -32,8 +32,8 @@
         self._server: web.Server | None = None
         self.in_flight = 0
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen on *host* and *port*."""
+    async def start(self, endpoint: Endpoint) -> None:
+        """Listen at *endpoint*."""
         self._server = web.Server(
             self._handle,
             handler_cancellation=True,
@@ -45,7 +45,8 @@
         )
         self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port, backlog=BACKLOG).start()
+        site = web.TCPSite(self._runner, endpoint.host, endpoint.port, backlog=BACKLOG)
+        await site.start()
 
     @property
     def connections(self) -> int:
@@ -104,24 +105,3 @@
             "elapsed_ms": outcome.elapsed,
         }
         log.info("request finished", extra=fields)
-
-
-class ReadinessListener:
-    """Answers every request with 200 while *is_ready*, else with 503."""
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen on *host* and *port*."""
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
-
-    async def stop(self) -> None:
-        """Close the listener."""
-        await self._runner.cleanup()
-
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self._is_ready() else 503)
--- a/src/fuchsiatrack/gateway/main.py
+++ b/src/fuchsiatrack/gateway/main.py
@@ -10,8 +10,9 @@
 
 from absl import app, flags
 
+from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.gateway.daemon import GatewayDaemon
-from fuchsiatrack.gateway.settings import SettingsError
+from fuchsiatrack.gateway.settings import GatewaySettings, SettingsError
 from fuchsiatrack.kernel import logs, registry
 
 EXIT_BAD_SETTINGS = 2
@@ -38,12 +39,12 @@
     logs.configure(settings.vm, _LOG_LEVEL.value, bounded=True)
     gc.set_threshold(GC_THRESHOLD)
     gc.freeze()
-    asyncio.run(_serve(GatewayDaemon, adapter, settings, path))
+    asyncio.run(_serve(adapter, settings, path))
     return 0
 
 
-async def _serve(daemon_class: type[GatewayDaemon], adapter, settings, path) -> None:
-    await daemon_class(adapter, settings, path).run()
+async def _serve(adapter: PlatformAdapter, settings: GatewaySettings, path: pathlib.Path) -> None:
+    await GatewayDaemon(adapter, settings, path).run()
 
 
 def run() -> None:
--- /dev/null
+++ b/src/fuchsiatrack/gateway/pages.py
@@ -0,0 +1,61 @@
+"""Small listeners that answer every request in one way."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+from aiohttp import web
+
+from fuchsiatrack.gateway.settings import Endpoint
+from fuchsiatrack.gateway.textmetrics import TextMetrics
+
+
+class Page(abc.ABC):
+    """A listener with one answer."""
+
+    def __init__(self) -> None:
+        self._runner: web.ServerRunner | None = None
+
+    @abc.abstractmethod
+    def answer(self) -> web.Response:
+        """Return the answer as of now."""
+
+    async def start(self, endpoint: Endpoint) -> None:
+        """Listen at *endpoint*."""
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, endpoint.host, endpoint.port).start()
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        return self.answer()
+
+
+class ReadinessPage(Page):
+    """Answers the balancer with 200 while *is_ready*, else with 503."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self._is_ready = is_ready
+
+    def answer(self) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
+
+
+class MetricsPage(Page):
+    """Serves the metrics; *gauges* returns what is measured at the time of a request."""
+
+    def __init__(self, metrics: TextMetrics, gauges: Callable[[], dict[str, float]]) -> None:
+        super().__init__()
+        self._metrics = metrics
+        self._gauges = gauges
+
+    def answer(self) -> web.Response:
+        for name, value in self._gauges().items():
+            self._metrics.gauge(name, value)
+        return web.Response(text=self._metrics.render())
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -31,7 +31,8 @@
 from fuchsiatrack.ranges.granting import RangeGranter
 from fuchsiatrack.ranges.ownership import OwnershipMap
 from fuchsiatrack.ranges.planner import BalancedPlanner
-from fuchsiatrack.ranges.term import STATE_STREAM, Leadership, Term
+from fuchsiatrack.ranges.records import STATE_STREAM, Term
+from fuchsiatrack.ranges.term import Leadership
 
 WATCH_PERIOD = 50
 # Pause between reads of ownership from the log, in milliseconds; the leader's updates come by
--- a/src/fuchsiatrack/gateway/metricspage.py
+++ b/src/fuchsiatrack/gateway/textmetrics.py
@@ -1,12 +1,9 @@
-"""Counters and latency histograms as a text page."""
+"""Counters and latency histograms as text."""
 
 from __future__ import annotations
 
 import bisect
 import collections
-from collections.abc import Callable
-
-from aiohttp import web
 
 from fuchsiatrack.kernel.metrics import Metrics
 
@@ -53,30 +50,6 @@
         return "\n".join(lines) + "\n"
 
 
-class MetricsPage:
-    """Serves the metrics; *gauges* returns what is measured at the time of a request."""
-
-    def __init__(self, metrics: TextMetrics, gauges: Callable[[], dict[str, float]]) -> None:
-        self._metrics = metrics
-        self._gauges = gauges
-        self._runner: web.ServerRunner | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen on *host* and *port*."""
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
-        await self._runner.setup()
-        await web.TCPSite(self._runner, host, port).start()
-
-    async def stop(self) -> None:
-        """Close the listener."""
-        await self._runner.cleanup()
-
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
-        for name, value in self._gauges().items():
-            self._metrics.gauge(name, value)
-        return web.Response(text=self._metrics.render())
-
-
 def _metric(name: str) -> str:
     return "fuchsiatrack_" + name.replace(".", "_").replace("-", "_")
 
--- a/src/fuchsiatrack/platform/adapter.py
+++ b/src/fuchsiatrack/platform/adapter.py
@@ -8,7 +8,7 @@
 from fuchsiatrack.directory.servers import ServerEntry
 from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.gateway.edge import Edge
-from fuchsiatrack.gateway.serverlink import LinkPool
+from fuchsiatrack.gateway.linkpool import LinkPool
 from fuchsiatrack.gateway.settings import GatewaySettings
 from fuchsiatrack.kernel.registry import register
 from fuchsiatrack.model.routes import RouteTable
--- a/src/fuchsiatrack/platform/grants.py
+++ b/src/fuchsiatrack/platform/grants.py
@@ -8,10 +8,10 @@
 from multidict import CIMultiDict
 
 from fuchsiatrack.directory.servers import ServerEntry
+from fuchsiatrack.gateway.linkpool import LinkPool
 from fuchsiatrack.gateway.serverlink import (
     ConnectFailed,
     ExchangeFailed,
-    LinkPool,
     OutgoingRequest,
     ServerAnswer,
 )
--- a/src/fuchsiatrack/ranges/book.py
+++ b/src/fuchsiatrack/ranges/book.py
@@ -9,7 +9,8 @@
 from fuchsiatrack.control.keyedlog import KeyedRecord
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
-from fuchsiatrack.ranges.term import TERM_KEY, Leadership
+from fuchsiatrack.ranges.records import TERM_KEY
+from fuchsiatrack.ranges.term import Leadership
 
 MAP_PREFIX = "map/"
 
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -9,18 +9,17 @@
 import random
 from collections.abc import Callable
 
-from fuchsiatrack.control.keyedlog import ConditionFailed, Fenced, KeyedLog, Stream, Writer
+from fuchsiatrack.control.keyedlog import ConditionFailed, Fenced, KeyedLog, Writer
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
-
-TOPIC = "ownership"
-# Claims and ownership maps, which every daemon follows.
-STATE_STREAM = Stream(TOPIC, 0)
-# Renewals, which only a daemon that misses the leader reads.
-LEASE_STREAM = Stream(TOPIC, 1)
-TERM_KEY = "term"
-LEASE_KEY = "lease"
-WRITER_NAME = "leader"
+from fuchsiatrack.ranges.records import (
+    LEASE_KEY,
+    LEASE_STREAM,
+    STATE_STREAM,
+    TERM_KEY,
+    WRITER_NAME,
+    Term,
+)
 
 # How long a leader acts after the start of its latest successful renewal, in milliseconds: three
 # renewals may fail before it has to stop.
@@ -57,34 +56,6 @@
     """The term has ended, so nothing more may be written or ordered in its name."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Term:
-    """One leader's time in office; `report_address` is where it takes load reports.
-
-    Terms are numbered from 1; term 0 has no leader.  A leader that has `resigned` sends nothing
-    more, and tells for how many milliseconds long grants may last.
-    """
-
-    number: int = 0
-    vm: str = ""
-    incarnation: str = ""
-    report_address: str = ""
-    resigned: bool = False
-    long_for: int = 0
-
-    def encode(self) -> bytes:
-        """Return the term as JSON."""
-        return json.dumps(dataclasses.asdict(self)).encode()
-
-    @classmethod
-    def decode(cls, data: bytes) -> Term:
-        """Return the term that `encode` wrote; raise ValueError for anything else."""
-        try:
-            return cls(**json.loads(data))
-        except TypeError as error:
-            raise ValueError(f"not a term: {error}") from error
-
-
 class Leadership:
     """This daemon's part in leadership; `run` claims and renews until cancelled.
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -22,7 +22,8 @@
 from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.planner import BalancedPlanner, Situation, StayPlanner
-from fuchsiatrack.ranges.term import STATE_STREAM, TERM_KEY, Leadership, NotLeading, Term
+from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, Term
+from fuchsiatrack.ranges.term import Leadership, NotLeading
 from fuchsiatrack_standins.fleet.store import Mode, StoreStandIn
 from tests.fleet import endpoint_of
 
