Separate grant renewals from planning and moves

Change: GrantKeeper (ranges/renewals.py) keeps grants alive, bounds what may be in force and watches which servers can be reached; RangeController plans and moves. No behaviour changes.

--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -3,42 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
 from collections.abc import Awaitable, Callable
 
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerLife
 from fuchsiatrack.kernel.clock import Clock
-from fuchsiatrack.ranges.granting import (
-    GrantRefused,
-    NoAnswer,
-    NotDelivered,
-    RangeGrant,
-    RangeGranter,
-)
-from fuchsiatrack.ranges.holds import HoldLedger, longest_hold
+from fuchsiatrack.ranges.granting import NoAnswer, NotDelivered, RangeGranter
 from fuchsiatrack.ranges.load import KeyLoad, ServiceTimes
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.planner import PlannedMove, RangePlanner, Situation
-from fuchsiatrack.ranges.term import LEASE, Leadership, NotLeading
-
-# Length of a grant while the log answers, in milliseconds: outlasts the loss of a leader with the
-# takeover, and bounds how long the keys of a lost server wait.
-GRANT_HOLD = 4_000
-# Length of a grant while renewals of the term fail, in milliseconds, if servers take it: outlasts
-# an outage of the log of nine seconds together with the lease.
-LONG_HOLD = 7_500
-# Part of a grant after which it is renewed.
-RENEW_PART = 0.25
-# Longest wait for the answer to a grant, in milliseconds.
-GRANT_TIMEOUT = 600
+from fuchsiatrack.ranges.renewals import GrantKeeper, OwnershipView
+from fuchsiatrack.ranges.term import Leadership, NotLeading
+
 # Longest wait for the answer to a release, in milliseconds: running requests end first.
 RELEASE_TIMEOUT = 2_500
-# A server that takes no grant for this long loses its keys, in milliseconds: one failed renewal
-# and one more on a new connection.
-UNREACHABLE_MAX = 1_200
-# Pause between connections that are tried to a server that took no grants, in milliseconds.
-PROBE_PERIOD = 1_000
 STEP_PERIOD = 100
 RETRY_PAUSE = 150
 BALANCE_PERIOD = 500
@@ -55,7 +33,7 @@
 log = logging.getLogger(__name__)
 
 
-class RangeController:
+class RangeController(OwnershipView):
     """Runs while this daemon leads; a new one is made for each term.
 
     *ownership* is the service's map as the log shows it, *moving_since* tells when this daemon
@@ -82,25 +60,37 @@
         self._granter = granter
         self._planner = planner
         self._clock = clock
-        self._long_hold = min(max_hold, LONG_HOLD)
-        self._long_until = clock.now()
         self._map = ownership
         self._pending: OwnershipMap | None = None
-        self._moving_since = moving_since
         self._save = save
         self._started_at = clock.now()
         self._balanced_at = -BALANCE_PERIOD
-        self._holds = HoldLedger(clock)
         self._write = asyncio.Lock()
-        self._renewers: dict[ServerLife, asyncio.Task] = {}
         self._transfers: dict[int, asyncio.Task] = {}
-        self._wakes: dict[ServerLife, asyncio.Event] = {}
-        self._reached_at: dict[ServerLife, int] = {}
-        self._unreachable: set[ServerLife] = set()
-        self._probes: dict[ServerLife, asyncio.Task] = {}
         self.load = KeyLoad(clock)
         self.times = ServiceTimes()
-        self._inherit_holds()
+        self._keeper = GrantKeeper(service, leadership, directory, granter, clock, max_hold, self)
+        self._keeper.inherit(moving_since)
+
+    @property
+    def current(self) -> OwnershipMap:
+        return self._map
+
+    @property
+    def planned(self) -> OwnershipMap:
+        return self._pending or self._map
+
+    async def raise_fence(self, item: OwnedRange) -> None:
+        await self._update(lambda current: current.renew_fence(item))
+
+    @property
+    def long_for(self) -> int:
+        """For how many milliseconds long grants may still last, also earlier leaders'."""
+        return self._keeper.long_for
+
+    def shorten_holds(self, long_for: int) -> None:
+        """Take in the last word of the leader before; see `GrantKeeper.shorten_holds`."""
+        self._keeper.shorten_holds(long_for)
 
     async def run(self) -> None:
         """Control until the term ends or the task is cancelled."""
@@ -111,86 +101,29 @@
         except NotLeading as error:
             log.info("control ends", extra={"service": self._service, "why": str(error)})
         finally:
-            running = (self._renewers, self._transfers, self._probes)
-            for task in itertools.chain.from_iterable(tasks.values() for tasks in running):
+            self._keeper.close()
+            for task in self._transfers.values():
                 task.cancel()
 
-    def _inherit_holds(self) -> None:
-        """Count the grants that earlier leaders may have sent, now or until their leases end."""
-        latest = self._clock.now() + LEASE + GRANT_TIMEOUT
-        for item in self._map.ranges:
-            # A leader renews ranges no longer once it has begun to record that they leave.
-            left = self._moving_since(item) + LEASE + GRANT_TIMEOUT
-            arrival = min(latest, left) if item.is_moving else latest
-            self._holds.note(item.owner, item.first, item.last, arrival, self._long_hold)
-        if self._map.ranges:
-            self._long_until = latest + longest_hold(self._long_hold)
-
-    @property
-    def long_for(self) -> int:
-        """For how many milliseconds grants of `LONG_HOLD` may still last, also earlier leaders'."""
-        return max(0, self._long_until - self._clock.now())
-
-    def shorten_holds(self, long_for: int) -> None:
-        """Take in the last word of the leader before, which now sends nothing more.
-
-        Its `long_for` was *long_for* when it said so.
-        """
-        usual = GRANT_TIMEOUT + longest_hold(GRANT_HOLD)
-        latest = self._clock.now() + max(long_for, usual)
-        self._holds.limit(latest)
-        self._long_until = min(self._long_until, latest)
-
     async def _step(self) -> None:
         if not self._leadership.may_act():
             return
-        self._check_servers()
+        self._keeper.check_servers()
         if not self._map.ranges:
             await self._assign_first()
         elif self._is_due_to_plan():
             await self._start_moves()
-        self._sync_renewers()
+        self._keeper.sync()
         self._continue_transfers()
 
     # Servers
 
-    def _entry(self, life: ServerLife) -> ServerEntry | None:
-        """Return the entry of *life*, None when it is not listed or runs as another life."""
-        entry = self._directory.find(life.server)
-        if entry is None or entry.life != life or entry.service != self._service:
-            return None
-        return entry
-
-    def _check_servers(self) -> None:
-        now = self._clock.now()
-        for entry in self._directory.of_service(self._service):
-            reached_at = self._reached_at.setdefault(entry.life, now)
-            lost = now - reached_at > UNREACHABLE_MAX and bool(self._map.of(entry.life))
-            if lost and entry.life not in self._unreachable:
-                self._unreachable.add(entry.life)
-                fields = {"server": entry.id, "silent_ms": now - reached_at}
-                log.warning("server can't be reached", extra=fields)
-                self._probes[entry.life] = asyncio.create_task(self._probe(entry))
-
-    async def _probe(self, entry: ServerEntry) -> None:
-        """Try to connect to a server that took no grants until it can be reached again."""
-        while entry.life in self._unreachable and self._entry(entry.life):
-            await self._clock.sleep(PROBE_PERIOD)
-            if await self._granter.can_reach(entry.address, GRANT_TIMEOUT):
-                self._note_reached(entry.life)
-
-    def _note_reached(self, life: ServerLife) -> None:
-        self._reached_at[life] = self._clock.now()
-        if life in self._unreachable:
-            self._unreachable.discard(life)
-            log.info("server can be reached again", extra={"server": life.server})
-
     def _capacities(self) -> dict[ServerLife, float]:
         """Return the servers that may own keys, each with its capacity."""
         usable = [
             entry
             for entry in self._directory.of_service(self._service)
-            if not entry.leaving and entry.life not in self._unreachable
+            if not entry.leaving and self._keeper.is_reachable(entry.life)
         ]
         speeds = self.times.speeds(entry.id for entry in usable)
         return {
@@ -248,90 +181,6 @@
                 await self._save(changed)
                 self._map, self._pending = changed, None
 
-    # Grants
-
-    def _sync_renewers(self) -> None:
-        owners = {item.owner for item in self._map.ranges if not item.is_moving}
-        for life in owners - self._renewers.keys():
-            self._wakes[life] = asyncio.Event()
-            self._renewers[life] = asyncio.create_task(self._renew_grants(life))
-        for life in self._renewers.keys() - owners:
-            self._renewers.pop(life).cancel()
-            self._wakes.pop(life, None)
-
-    async def _renew_grants(self, life: ServerLife) -> None:
-        """Keep the grants of one server alive until cancelled."""
-        while True:
-            wake = self._wakes[life]
-            wake.clear()
-            hold = self._hold()
-            is_reached = await self._grant_all(life, hold)
-            pause = int(hold * RENEW_PART) if is_reached else RETRY_PAUSE
-            await self._sleep_or_wake(wake, min(pause, int(GRANT_HOLD * RENEW_PART)))
-
-    def _hold(self) -> int:
-        """Return how long grants last: long ones while renewals of the term fail."""
-        if not self._leadership.has_faltered_long:
-            return GRANT_HOLD
-        end = self._clock.now() + GRANT_TIMEOUT + longest_hold(self._long_hold)
-        self._long_until = max(self._long_until, end)
-        return self._long_hold
-
-    async def _grant_all(self, life: ServerLife, hold: int) -> bool:
-        """Grant *life* what it owns; return whether it answered."""
-        entry = self._entry(life)
-        if entry is None:
-            return False
-        for item in self._renewable(life):
-            if not self._leadership.may_act():
-                return False
-            try:
-                await self._grant(entry, item, hold)
-            except (NoAnswer, NotDelivered) as error:
-                log.info("grant failed", extra={"server": entry.id, "why": str(error)})
-                return False
-            except GrantRefused as error:
-                await self._raise_fence(item, str(error))
-        return True
-
-    def _renewable(self, life: ServerLife) -> list[OwnedRange]:
-        """Return what *life* owns on the log and will own after the change that is being saved."""
-        planned = self._pending or self._map
-        return [
-            item
-            for item in planned.of(life)
-            if not item.is_moving
-            and (known := self._map.find(item.first)) is not None
-            and (known.owner, known.fence) == (life, item.fence)
-        ]
-
-    async def _grant(self, entry: ServerEntry, item: OwnedRange, hold: int) -> None:
-        grant = RangeGrant(item.first, item.last, item.fence, hold, item.handover)
-        latest = self._clock.now() + GRANT_TIMEOUT
-        # Counted before it is sent, since the task may be cancelled on the way.
-        before = self._holds.note(entry.life, item.first, item.last, latest, hold)
-        try:
-            await self._granter.grant(entry, grant, GRANT_TIMEOUT)
-        except NotDelivered:
-            self._holds.restore(entry.life, before)
-            raise
-        self._note_reached(entry.life)
-
-    async def _raise_fence(self, item: OwnedRange, why: str) -> None:
-        """Give a range whose grant was refused a greater fence; the owner stays."""
-        if item not in self._map.ranges:
-            return
-        fields = {"server": item.owner.server, "first": item.first, "fence": item.fence, "why": why}
-        log.warning("grant refused", extra=fields)
-        await self._update(lambda current: current.renew_fence(item))
-
-    async def _sleep_or_wake(self, wake: asyncio.Event, pause: int) -> None:
-        try:
-            async with asyncio.timeout(pause / 1_000):
-                await wake.wait()
-        except TimeoutError:
-            return
-
     # Moves
 
     def _continue_transfers(self) -> None:
@@ -366,9 +215,9 @@
             "took_ms": self._clock.now() - started,
         }
         log.info("move finished", extra=fields)
-        self._sync_renewers()
-        if done and (wake := self._wakes.get(done.owner)):
-            wake.set()
+        self._keeper.sync()
+        if done:
+            self._keeper.wake(done.owner)
 
     async def _vacate(self, item: OwnedRange) -> str | None:
         """Return the handover once the owner certainly serves *item* no longer, "" without one.
@@ -378,7 +227,7 @@
         while self._leadership.is_mine:
             if self._directory.has_ended(item.owner):
                 return ""
-            if self._clock.now() >= self._holds.until(item.owner, item.first, item.last):
+            if self._clock.now() >= self._keeper.holds.until(item.owner, item.first, item.last):
                 return ""
             token = await self._try_release(item)
             if token is not None:
@@ -386,8 +235,15 @@
             await self._clock.sleep(RETRY_PAUSE)
         return None
 
+    def _last_entry(self, life: ServerLife) -> ServerEntry | None:
+        """Return the latest entry of *life*, also for a while after it is no longer listed."""
+        entry = self._directory.find(life.server)
+        if entry is not None and entry.life == life:
+            return entry
+        return self._directory.last_known(life)
+
     async def _try_release(self, item: OwnedRange) -> str | None:
-        server = self._entry(item.owner) or self._directory.last_known(item.owner)
+        server = self._last_entry(item.owner)
         if server is None or not self._leadership.may_act():
             return None
         try:
@@ -398,8 +254,8 @@
             fields = {"server": item.owner.server, "first": item.first, "why": str(error)}
             log.info("release failed", extra=fields)
             return None
-        self._holds.clear(item.owner, item.first, item.last)
-        self._note_reached(item.owner)
+        self._keeper.holds.clear(item.owner, item.first, item.last)
+        self._keeper.note_reached(item.owner)
         return token
 
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -15,6 +15,7 @@
 from fuchsiatrack.kernel.errors import AppendRefused
 from fuchsiatrack.platform.store import StoreClient
 from fuchsiatrack.ranges import controller as control
+from fuchsiatrack.ranges import renewals
 from fuchsiatrack.ranges.book import OwnershipBook, map_key
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.granting import GrantRefused, NoAnswer, NotDelivered, RangeGranter
@@ -448,15 +449,15 @@
     @pytest.fixture
     async def parts(self, monkeypatch):
         for name, value in (
-            ("FIRST_ASSIGN_WAIT", 0),
             ("GRANT_HOLD", 800),
             ("UNREACHABLE_MAX", 400),
             ("GRANT_TIMEOUT", 100),
             ("LEASE", 100),
-            ("STEP_PERIOD", 10),
             ("PROBE_PERIOD", 50),
         ):
-            monkeypatch.setattr(control, name, value)
+            monkeypatch.setattr(renewals, name, value)
+        monkeypatch.setattr(control, "FIRST_ASSIGN_WAIT", 0)
+        monkeypatch.setattr(control, "STEP_PERIOD", 10)
         clock = SystemClock()
         directory = ServerDirectory(clock)
         for life in LIVES:
