Let slow reads finish, requests outlive their service, callers ask first

Cause, found by reading: (1) a daemon that is behind breaks off its read each 300 ms, and a new leader each 10 ms, so with a store that answers slower neither ever reads; (2) a request looked its service up again while it was served, and failed when a later configuration had dropped it; (3) a caller that expects 100-continue waited for nothing.

Change: only long polls are broken off; a request keeps its service; 100 is sent before the body is read. Header lines up to 64 KB are taken.

Tests, red before: test_slow_store_delays_a_version_by_little_more_than_its_ answers, test_request_outlives_its_service, test_caller_that_asks_first_is_told_ to_go_on. test_leaving_server_gets_nothing_and_its_keys_move failed once: it asked for a release before the first grant had come (trace: no grant at that server); it now waits for the grant.

--- a/src/fuchsiatrack/control/keyedlog.py
+++ b/src/fuchsiatrack/control/keyedlog.py
@@ -133,6 +133,7 @@
         self._failed_at: int | None = None
         self._is_failing = False
         self._poll: asyncio.Task[KeyedPage] | None = None
+        self._poll_wait = 0
         self._hurry = asyncio.Event()
         self._has_peers = False
         self.next = 0
@@ -182,9 +183,12 @@
             self.hurry()
 
     def hurry(self) -> None:
-        """Read now instead of waiting for the end of a poll or a pause."""
+        """Read now instead of waiting for the end of a poll or a pause.
+
+        A read that waits for nothing but its answer goes on, however slow the service is.
+        """
         self._hurry.set()
-        if self._poll is not None:
+        if self._poll is not None and self._poll_wait:
             self._poll.cancel()
 
     async def _read(self) -> None:
@@ -205,6 +209,7 @@
         if self._is_failing or self._hurry.is_set():
             wait = 0
         self._hurry.clear()
+        self._poll_wait = wait
         self._poll = asyncio.ensure_future(self._log.read(self._stream, self.next, wait))
         try:
             return await self._poll
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -27,7 +27,7 @@
 from fuchsiatrack.gateway.sources import ConfigurationHolder, DirectoryFeed
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
-from fuchsiatrack.routing.refusal import Reason, Refusal
+from fuchsiatrack.model.routes import RoutedService
 
 # How long a stopping daemon goes on taking connections, in milliseconds: the balancer asks once
 # a second and needs two answers.
@@ -204,11 +204,8 @@
             body_idle_timeout=BODY_IDLE_TIMEOUT,
         )
 
-    def _chooser(self, service: str) -> ServerChooser:
-        table = self._configuration.table
-        if table is None or service not in table.services:
-            raise Refusal(Reason.NO_SERVER)
-        return self._choosers[table.services[service].keyed]
+    def _chooser(self, service: RoutedService) -> ServerChooser:
+        return self._choosers[service.keyed]
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -26,7 +26,7 @@
 from fuchsiatrack.gateway.serverstate import ServerStates
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.verdict import Verdict
-from fuchsiatrack.model.routes import Route, RouteTable
+from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.body import RequestBody
 from fuchsiatrack.routing.refusal import Reason, Refusal
 
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ForwarderParts:
-    """What a forwarder works with; *choosers* and *budgets* are looked up by service."""
+    """What a forwarder works with; `chooser` and `budget` are looked up by service."""
 
     edge: Edge
     clock: Clock
@@ -65,7 +65,7 @@
     directory: ServerDirectory
     table: Callable[[], RouteTable | None]
     is_ready: Callable[[], bool]
-    chooser: Callable[[str], ServerChooser]
+    chooser: Callable[[RoutedService], ServerChooser]
     budget: Callable[[str], SharedRetryBudget]
     daemons: Callable[[], int]
     note_key: Callable[[str, int], None]
@@ -102,6 +102,7 @@
         self._servers: set[str] = set()
         self._may_have_run = False
         self._failed_answer: web.Response | None = None
+        self._service: RoutedService | None = None
         self._body: RequestBody | None = None
         self.outcome = Outcome()
 
@@ -131,8 +132,9 @@
         time_left = route.timeout if terms.time_left is None else terms.time_left
         self._deadline = self._started + min(time_left - RETURN_MARGIN, route.timeout)
         self._parts.budget(service).note_request()
-        keyed = table.services[service].keyed
-        if keyed and terms.key is not None:
+        # Kept for the whole request, since a later configuration may drop the service.
+        self._service = table.services[service]
+        if self._service.keyed and terms.key is not None:
             self._parts.note_key(service, terms.key)
         await self._read_body(table.limits.max_body)
         try:
@@ -159,6 +161,8 @@
         length = self._request.content_length
         if length is not None and length > limit:
             raise Refusal(Reason.TOO_LARGE)
+        if self._request.headers.get("Expect", "").lower() == "100-continue":
+            self._request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._body = RequestBody(self._request, limit, self._parts.body_idle_timeout)
         await self._body.hold_if_small()
 
@@ -167,7 +171,7 @@
     async def _send_until_answered(
         self, route: Route, service: str, terms: CallTerms
     ) -> web.Response:
-        chooser = self._parts.chooser(service)
+        chooser = self._parts.chooser(self._service)
         while True:
             size = self._body.length or 0
             wanted = Wanted(service, terms.key, size, self._deadline, self._avoid)
@@ -215,10 +219,10 @@
         """Send once; raise Refusal with what is known when no usable answer came."""
         state = self._parts.states.get(entry.id, entry.slots)
         gate = self._parts.gates.get(entry.id)
-        most = self._connection_share(entry.service)
+        most = self._connection_share()
         await gate.enter(self._claim(route), most, state.latency)
         try:
-            if not self._parts.chooser(entry.service).is_current(entry, wanted):
+            if not self._parts.chooser(self._service).is_current(entry, wanted):
                 raise Refusal(Reason.STALE, retry_after=RETRY_AFTER)
             return await self._send_now(entry, route, terms, most)
         finally:
@@ -227,9 +231,9 @@
     def _claim(self, route: Route) -> Claim:
         return Claim(route.priority, self._started + route.objective, self._deadline)
 
-    def _connection_share(self, service: str) -> int:
-        """Return this daemon's share of the connections that each server of *service* takes."""
-        most = self._parts.table().services[service].max_connections
+    def _connection_share(self) -> int:
+        """Return this daemon's share of the connections that each server takes."""
+        most = self._service.max_connections
         return max(1, (most - CONTROL_CONNECTIONS) // self._parts.daemons())
 
     async def _send_now(
@@ -302,7 +306,7 @@
             raise self._broken(Reason.TRUNCATED, Verdict.MAY_HAVE_RUN)
         state.note_answer(elapsed, answer.status < 500, now)
         parts.states.note_answer_size(entry.service, len(answer.body))
-        gate.limit.note_answer(said.load, self._connection_share(entry.service))
+        gate.limit.note_answer(said.load, self._connection_share())
         if answer.status >= 500 and route.idempotent and self.outcome.sends < route.max_servers:
             self._failed_answer = self._pass_on(answer)
             raise self._broken(Reason.SERVER_ERROR, Verdict.RAN)
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -13,7 +13,8 @@
 
 # Longest time that a caller's idle connection is kept, in seconds; callers close theirs earlier.
 KEEPALIVE_S = 75.0
-MAX_HEADER_BYTES = 16_384
+# Longest header line, in bytes; operators allow callers 16 KB today.
+MAX_HEADER_BYTES = 65_536
 BACKLOG = 1_024
 
 log = logging.getLogger(__name__)
--- a/src/fuchsiatrack_standins/fleet/store.py
+++ b/src/fuchsiatrack_standins/fleet/store.py
@@ -73,6 +73,7 @@
         self.mode = Mode.SERVING
         self.calls: dict[str, int] = {}
         self.deaf_reads = False
+        self.delay_ms = 0
         self._partitions: dict[tuple[str, int], Partition] = {}
         self._runner: web.ServerRunner | None = None
         self.address = ""
@@ -111,6 +112,7 @@
             return web.Response(status=503)
         if self.mode is Mode.MANY:
             return web.Response(status=429)
+        await asyncio.sleep(self.delay_ms / 1_000)
         handlers = {
             "/-/log-append": self._append,
             "/-/log-read": self._read,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -66,6 +66,18 @@
         assert status == 200
         assert [run.body for run in _runs(fleet, "booking")] == [b"a" * 70_000 + b"b" + b"c" * 10]
 
+    async def test_caller_that_asks_first_is_told_to_go_on(self, fleet: Fleet):
+        reader, writer = await asyncio.open_connection(*_callers(fleet))
+        head = f"POST /orders/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r\r\n"
+        writer.write(f"{head}Content-Length: 2\r\nExpect: 100-continue\r\n\r\n".encode())
+        async with asyncio.timeout(1):
+            assert b" 100 " in await reader.readline()
+            await reader.readline()
+            writer.write(b"ok")
+            assert b" 200 " in await reader.readline()
+        writer.close()
+        assert [run.body for run in _runs(fleet, "booking")] == [b"ok"]
+
     async def test_time_left_shrinks_on_the_way(self, fleet: Fleet):
         await fleet.call("/reads/", deadline=500)
         [run] = _runs(fleet, "catalogue")
@@ -204,6 +216,31 @@
         second._followers["configuration"].hurry()
         await _wait_for(lambda: first._configuration.table.version == 7, 2.0)
 
+    async def test_slow_store_delays_a_version_by_little_more_than_its_answers(self, fleet: Fleet):
+        """Peers that say that a record is missed must not break off the read that fetches it."""
+        fleet.store.delay_ms = 450
+        fleet.publish(2, [ORDERS, KEYED], sharded=("stock",))
+        follower = fleet.daemons["entry-1"]._followers["configuration"]
+
+        async def remind():
+            while True:
+                follower.hear(follower.next + 1)
+                await asyncio.sleep(0.1)
+
+        reminder = asyncio.create_task(remind())
+        await _wait_for(lambda: fleet.daemons["entry-1"]._configuration.table.version == 2, 2.0)
+        reminder.cancel()
+
+    async def test_request_outlives_its_service(self, fleet: Fleet):
+        for name in ("booking-0", "booking-1"):
+            fleet.servers[name].work_ms = 400
+            fleet.servers[name].slots = 1
+        calls = [asyncio.create_task(fleet.call("/orders/", method="POST")) for _ in range(3)]
+        await asyncio.sleep(0.1)
+        fleet.publish(2, [READS, KEYED], sharded=("stock",))
+        assert {(await call)[0] for call in calls} <= {200, 503}
+        assert (await calls[0])[0] == 200
+
     async def test_without_a_configuration_requests_are_not_run(self):
         async with run_fleet() as empty:
             await empty.add_daemon("entry-1")
@@ -225,6 +262,8 @@
 
     async def test_leaving_server_gets_nothing_and_its_keys_move(self, fleet: Fleet):
         leaving = fleet.servers["stock-0"]
+        # Ready says that owners are known; their first grants follow.
+        await _wait_for(lambda: leaving.grants)
         leaving.announce("draining")
         await _wait_for(lambda: not any(leaving.holds(key) for key in range(0, 65_536, 512)))
         assert leaving.released
@@ -234,6 +273,7 @@
         assert len(leaving.runs) == before
 
     async def test_next_owner_gets_the_handover(self, fleet: Fleet):
+        await _wait_for(lambda: fleet.servers["stock-1"].grants)
         fleet.servers["stock-1"].announce("draining")
         await _wait_for(lambda: not any(fleet.servers["stock-1"].holds(k) for k in (0, 30_000)))
         await asyncio.sleep(0.3)
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -314,6 +314,12 @@
         await _wait_for(leader.leadership.may_act)
         await leader.close()
 
+    async def test_slow_store_still_elects(self, store: StoreStandIn):
+        store.delay_ms = 150
+        candidate = Candidate(store, "vm-1")
+        await _wait_for(candidate.leadership.may_act, 4.0)
+        await candidate.close()
+
     async def test_resigned_term_is_taken_over_at_once(self, store: StoreStandIn):
         first = Candidate(store, "vm-1")
         await _wait_for(first.leadership.may_act)
