Test ownership under random faults, datagrams, metrics and logs

Cause: OWNER was proved piece by piece only. test_range_faults runs controllers of successive terms against servers that lose answers, apply grants late, can't be reached, leave and start again, and looks for keys with two holders; the check is shown to see one.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -87,6 +87,11 @@
         self._readiness = ReadinessPage(lambda: self.is_ready and not self._stop.is_set())
         self._metrics_page = MetricsPage(self._metrics, self._gauges)
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether every listener is open."""
+        return bool(self._tasks)
+
     @property
     def is_ready(self) -> bool:
         """Whether configuration, servers and owners are known."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -116,6 +116,9 @@
         daemon = GatewayDaemon(UsersPlatform(), settings, pathlib.Path(__file__))
         self.daemons[vm] = daemon
         self._tasks[vm] = asyncio.create_task(daemon.run())
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not daemon.is_listening:
+                await asyncio.sleep(0.01)
         return daemon
 
     async def wait_ready(self, timeout: float = READY_TIMEOUT_S) -> None:
--- /dev/null
+++ b/tests/test_observability.py
@@ -0,0 +1,168 @@
+"""Datagrams among daemons, metrics and logs."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import queue
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiatrack.gateway.textmetrics import TextMetrics
+from fuchsiatrack.kernel import logs
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.peers.loadreports import (
+    KEYS_PER_DATAGRAM,
+    LastWord,
+    LoadReport,
+    Members,
+    OwnershipUpdate,
+    Reply,
+    ReportChannel,
+    ServerTimes,
+)
+from tests.fleet import run_fleet
+
+
+class ManualClock(Clock):
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.time = 0
+
+    def now(self) -> int:
+        return self.time
+
+
+class FakeTransport:
+    """Keeps what was sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[bytes, tuple]] = []
+
+    def sendto(self, data: bytes, address: tuple) -> None:
+        self.sent.append((data, address))
+
+    def is_closing(self) -> bool:
+        return False
+
+
+class TestDatagrams:
+    """What daemons tell one another."""
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            LoadReport("vm", "run", 3, "s", {5: 2}, {"i": ServerTimes(4, 1.5)}, {"directory": 9}),
+            Reply(3, 9, True, {"configuration": 4}),
+            LastWord(3, 700),
+            OwnershipUpdate(3, "s", 8, b'{"ranges": []}'),
+        ],
+    )
+    def test_what_is_sent_is_read_back(self, message):
+        assert type(message).decode(message.encode()) == message
+
+    @given(st.binary(max_size=80))
+    def test_nonsense_is_passed_over(self, data: bytes):
+        taken: list = []
+        channel = ReportChannel(
+            lambda *a: taken.append(a), taken.append, taken.append, taken.append
+        )
+        channel.datagram_received(data, ("127.0.0.1", 1))
+        assert not taken
+
+    def test_many_keys_are_split_and_times_are_sent_once(self):
+        channel = ReportChannel(lambda *a: None, id, id, id)
+        channel.connection_made(FakeTransport())
+        keys = dict.fromkeys(range(KEYS_PER_DATAGRAM * 2 + 1), 1)
+        report = LoadReport("vm", "run", 1, "s", keys, {"i": ServerTimes(1, 2.0)})
+        channel.send(report, "127.0.0.1:9")
+        parts = [LoadReport.decode(data) for data, _ in channel._transport.sent]
+        assert [len(part.keys) for part in parts] == [KEYS_PER_DATAGRAM, KEYS_PER_DATAGRAM, 1]
+        assert [len(part.servers) for part in parts] == [1, 0, 0]
+
+    def test_members_that_fall_silent_are_not_counted(self):
+        clock = ManualClock()
+        members = Members(clock)
+        members.note("vm-1")
+        members.note_address("vm-1", ("127.0.0.1", 1))
+        clock.time = 2_000
+        members.note("vm-2")
+        assert members.count == 2
+        clock.time = 3_500
+        assert members.count == 1
+        assert members.addresses == ()
+
+
+class TestMetrics:
+    """The text page."""
+
+    def test_counters_gauges_and_histograms_are_lines(self):
+        metrics = TextMetrics()
+        metrics.count("requests.status.200", 2)
+        metrics.gauge("leading", 1)
+        for duration in (1, 70, 9_000):
+            metrics.time("requests.latency", duration)
+        lines = metrics.render().splitlines()
+        assert "fuchsiatrack_requests_status_200 2" in lines
+        assert "fuchsiatrack_leading 1" in lines
+        assert 'fuchsiatrack_requests_latency_ms_bucket{le="100"} 2' in lines
+        assert 'fuchsiatrack_requests_latency_ms_bucket{le="+Inf"} 3' in lines
+        assert "fuchsiatrack_requests_latency_ms_count 3" in lines
+
+    async def test_page_is_served(self):
+        async with run_fleet() as fleet:
+            await fleet.add_daemon("entry-1")
+            settings = fleet.settings["entry-1"]
+            url = f"http://127.0.0.1:{settings.metrics_port}/metrics"
+            async with fleet.session.get(url) as response:
+                assert "fuchsiatrack_servers_listed 0" in await response.text()
+
+
+class TestLogs:
+    """Lines of JSON that never hold anybody up."""
+
+    def test_full_queue_drops_and_counts(self):
+        waiting: queue.Queue = queue.Queue(2)
+        handler = logs._BoundedQueueHandler(waiting)
+        logger = logging.Logger("test")
+        logger.addHandler(handler)
+        for index in range(10):
+            logger.info("line %d", index)
+        waiting.get()
+        waiting.get()
+        logger.info("after")
+        assert waiting.get().dropped == 8
+        assert waiting.get().getMessage() == "after"
+
+    def test_fields_become_members(self, monkeypatch):
+        output = io.StringIO()
+        monkeypatch.setattr("sys.stderr", output)
+        root = logging.getLogger()
+        handlers, level = root.handlers[:], root.level
+        try:
+            logs.configure("vm-1")
+            logging.getLogger("x").info(
+                "request finished", extra={"request_id": "r", "status": 503}
+            )
+        finally:
+            root.handlers[:] = handlers
+            root.setLevel(level)
+        line = json.loads(output.getvalue())
+        assert (line["vm"], line["message"], line["request_id"]) == (
+            "vm-1",
+            "request finished",
+            "r",
+        )
+
+    async def test_refused_request_leaves_its_reason(self, caplog):
+        """What docs/OPERATIONS.md starts from: one line that holds the caller's id."""
+        caplog.set_level(logging.INFO)
+        async with run_fleet() as fleet:
+            await fleet.add_daemon("entry-1")
+            await fleet.call("/reads/", request_id="lost-one")
+        [line] = [item for item in caplog.records if getattr(item, "request_id", "") == "lost-one"]
+        assert (line.reason, line.verdict, line.status) == ("not-ready", "not-run", 503)
--- /dev/null
+++ b/tests/test_range_faults.py
@@ -0,0 +1,205 @@
+"""Ownership under random faults: no key ever has two holders."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from fuchsiatrack.directory.servers import ServerDirectory, ServerLife
+from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.ranges import controller as control
+from fuchsiatrack.ranges import renewals
+from fuchsiatrack.ranges.controller import RangeController
+from fuchsiatrack.ranges.granting import GrantRefused, NoAnswer, NotDelivered
+from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
+from fuchsiatrack.ranges.planner import BalancedPlanner
+from tests.test_ranges import LIVES, FakeGranter, FakeLeadership, SavedMaps, _entry
+
+# Keys that are looked at; moves cut ranges between them.
+SAMPLES = tuple(range(0, LAST_KEY, 331))
+RUN_S = 4.0
+LONG_MS = 900
+MAX_LATE_S = 0.3
+
+
+class FaultyGranter(FakeGranter):
+    """Servers that lose answers, apply grants late, and check fences by key.
+
+    A late grant's time counts from its arrival, and it is refused after a greater fence.
+    """
+
+    def __init__(self, clock, rng: random.Random) -> None:
+        super().__init__(clock)
+        self._rng = rng
+        self.fences: dict[str, list[tuple[int, int, int]]] = {}
+        self.loss = 0.0
+        self.ended: set[str] = set()
+
+    def end(self, address: str) -> None:
+        """End the server at *address*; what arrives there later does nothing."""
+        self.ended.add(address)
+        self.held.pop(address, None)
+
+    async def grant(self, server, grant, timeout):
+        address = server.address
+        if address in self.unreachable | self.ended:
+            raise NotDelivered(address)
+        until = self._clock.now() + grant.hold
+        if self._rng.random() < self.loss:
+            delay = self._rng.uniform(0, MAX_LATE_S)
+            asyncio.get_running_loop().call_later(delay, self._apply, address, grant, until)
+            raise NoAnswer(address)
+        if not self._apply(address, grant, until):
+            raise GrantRefused(address)
+
+    async def release(self, server, first, last, fence, timeout):
+        address = server.address
+        if address in self.unreachable | self.ended:
+            raise NotDelivered(address)
+        self.fences.setdefault(address, []).append((first, last, fence))
+        self.held[address] = dict(self._without(address, first, last))
+        if self._rng.random() < self.loss:
+            raise NoAnswer(address)
+        return f"token-{fence}"
+
+    def _apply(self, address, grant, until) -> bool:
+        if address in self.ended:
+            return False
+        seen = self.fences.setdefault(address, [])
+        if any(a <= grant.last and grant.first <= b and f > grant.fence for a, b, f in seen):
+            return False
+        seen.append((grant.first, grant.last, grant.fence))
+        held = dict(self._without(address, grant.first, grant.last))
+        held[grant.first, grant.last] = (until, grant.fence)
+        self.held[address] = held
+        return True
+
+    def _without(self, address, first, last):
+        """Yield what the server holds outside of the keys from *first* to *last*."""
+        for (start, end), value in self.held.get(address, {}).items():
+            if end < first or last < start:
+                yield (start, end), value
+                continue
+            if start < first:
+                yield (start, first - 1), value
+            if last < end:
+                yield (last + 1, end), value
+
+
+class Trial:
+    """Controllers of successive terms, servers with faults, and a watch on every sample."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = SystemClock()
+        self.directory = ServerDirectory(self.clock)
+        for life in LIVES:
+            self.directory.put(_entry(life))
+        self.granter = FaultyGranter(self.clock, self.rng)
+        self.saved = SavedMaps()
+        self.violations: list[tuple[int, list[str]]] = []
+        self.lead()
+
+    def lead(self) -> None:
+        """Begin a term on the latest map."""
+        self.leadership = FakeLeadership()
+        self.controller = RangeController(
+            "stock",
+            self.leadership,
+            self.directory,
+            self.granter,
+            BalancedPlanner(),
+            self.clock,
+            LONG_MS,
+            self.saved[-1] if self.saved else OwnershipMap(),
+            lambda item: self.clock.now(),
+            self.saved.save,
+        )
+        self.task = asyncio.create_task(self.controller.run())
+
+    async def watch(self) -> None:
+        """Look for keys with two holders until cancelled."""
+        while True:
+            for key in SAMPLES:
+                holders = self.granter.holders(key)
+                if len(holders) > 1:
+                    self.violations.append((key, holders))
+            await asyncio.sleep(0.005)
+
+    def disturb(self) -> None:
+        """Do one random thing."""
+        server = f"s{self.rng.randrange(len(LIVES))}"
+        entry = self.directory.find(server)
+        kind = self.rng.randrange(6)
+        if kind == 0 and entry:
+            self.granter.unreachable ^= {entry.address}
+        elif kind == 1 and entry:
+            self.directory.put(dataclasses.replace(entry, leaving=not entry.leaving))
+        elif kind == 2 and entry:
+            # The server ends; its next life knows nothing.
+            self.granter.end(entry.address)
+            self.directory.put(_entry(ServerLife(server, entry.life.born + 1)))
+        elif kind == 3:
+            self.granter.loss = self.rng.choice((0.0, 0.3))
+        elif kind == 4:
+            self.leadership.has_faltered_long = not self.leadership.has_faltered_long
+        else:
+            self.leadership.is_mine = False
+            self.task.cancel()
+            self.lead()
+        counts = {self.rng.randrange(LAST_KEY): 5 for _ in range(20)}
+        self.controller.load.add(counts)
+
+
+class TestRandomFaults:
+    """Seeds of the same kind as any that ever fails are kept."""
+
+    @pytest.fixture(autouse=True)
+    def fast(self, monkeypatch):
+        for name, value in (
+            ("GRANT_HOLD", 400),
+            ("LONG_HOLD", LONG_MS),
+            ("UNREACHABLE_MAX", 150),
+            # Late grants arrive within this time.
+            ("GRANT_TIMEOUT", int(MAX_LATE_S * 1_000) + 50),
+            ("LEASE", 50),
+            ("PROBE_PERIOD", 50),
+            ("RETRY_PAUSE", 20),
+        ):
+            monkeypatch.setattr(renewals, name, value)
+        for name, value in (
+            ("FIRST_ASSIGN_WAIT", 0),
+            ("STEP_PERIOD", 10),
+            ("BALANCE_PERIOD", 50),
+            ("RETRY_PAUSE", 20),
+        ):
+            monkeypatch.setattr(control, name, value)
+
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_no_key_has_two_holders(self, seed: int):
+        trial = Trial(seed)
+        watcher = asyncio.create_task(trial.watch())
+        end = asyncio.get_running_loop().time() + RUN_S
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(trial.rng.uniform(0.05, 0.25))
+            trial.disturb()
+        assert not watcher.done()
+        watcher.cancel()
+        trial.task.cancel()
+        assert not trial.violations
+        fences = [item.fence for item in trial.saved[-1].ranges]
+        assert max(fences) > 1
+
+    async def test_watch_sees_a_second_holder(self):
+        """The check itself: grants without fences and waits are caught."""
+        trial = Trial(0)
+        trial.task.cancel()
+        for life in LIVES[:2]:
+            trial.granter.held[f"{life.server}:1"] = {(0, LAST_KEY): (trial.clock.now() + 500, 1)}
+        watcher = asyncio.create_task(trial.watch())
+        await asyncio.sleep(0.05)
+        watcher.cancel()
+        assert trial.violations
