--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -349,6 +349,23 @@
         assert headers["Connection"] == "close"
         await stop
 
+    async def test_kept_connection_brings_no_request_at_the_end_of_a_stop(self, fleet: Fleet):
+        """A request that is taken shortly before the end of the grace could not be finished."""
+        reader, writer = await asyncio.open_connection(*_callers(fleet))
+        head = f"GET /reads/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r\r\n\r\n"
+        writer.write(head.encode())
+        assert b" 200 " in await reader.readline()
+        stop = asyncio.create_task(fleet.stop_daemon("entry-1"))
+        await asyncio.sleep(2.3)
+        for name in ("booking-0", "booking-1"):
+            fleet.servers[name].work_ms = 1_900
+        call = asyncio.create_task(fleet.call("/orders/", method="POST", deadline=2_500))
+        async with asyncio.timeout(1.5):
+            await reader.read()
+        assert not call.done()
+        assert (await call)[0] == 200
+        await stop
+
     async def test_leader_that_resigns_leaves_no_long_wait(self, fleet: Fleet):
         await fleet.add_daemon("entry-2")
         await fleet.wait_ready()
