Close idle connections when a stopping daemon ends taking requests

Cause: after SIGTERM the daemon closed a kept connection only with its next answer.

Ruled out: aiohttp's Server.pre_shutdown.

Change: 2.6 s after SIGTERM the listeners close and so does each connection without a request (force_close). A request that was read while its connection was being closed isn't passed on.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -29,8 +29,8 @@
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.model.routes import RoutedService
 
-# How long a stopping daemon goes on taking connections, in milliseconds: the balancer asks once
-# a second and needs two answers.
+# How long a stopping daemon goes on taking requests, in milliseconds: the balancer asks once a
+# second and needs two answers.
 LEAVE_TIME = 2_600
 # Part of the grace of a stop after which what is still open is cut off, in milliseconds before
 # the end.
@@ -135,7 +135,7 @@
         started = self._clock.now()
         self._listener.leave()
         await self._ranges.resign()
-        await self._wait_for_callers(started + LEAVE_TIME)
+        await self._clock.sleep_until(started + LEAVE_TIME)
         left = started + self._settings.stop_grace - STOP_MARGIN - self._clock.now()
         await self._listener.stop(max(left, 0))
         await self._close()
@@ -151,13 +151,6 @@
         self._control_links.close()
         await self._log.close()
 
-    async def _wait_for_callers(self, earliest: int) -> None:
-        """Go on serving until *earliest*, then while callers are connected and time is left."""
-        latest = earliest + max(0, self._settings.stop_grace - LEAVE_TIME - 2_000)
-        await self._clock.sleep_until(earliest)
-        while self._listener.connections and self._clock.now() < latest:
-            await self._clock.sleep(50)
-
     # Parts
 
     def _create_followers(self) -> dict[str, StreamFollower]:
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -31,7 +31,8 @@
         self._idle.set()
         self._runner: web.ServerRunner | None = None
         self._server: web.Server | None = None
-        self.in_flight = 0
+        # Connections with a request that is being served.
+        self._busy: set[web.RequestHandler] = set()
 
     async def start(self, endpoint: Endpoint) -> None:
         """Listen at *endpoint*."""
@@ -49,6 +50,11 @@
         site = web.TCPSite(self._runner, endpoint.host, endpoint.port, backlog=BACKLOG)
         await site.start()
 
+    @property
+    def in_flight(self) -> int:
+        """How many requests are being served."""
+        return len(self._busy)
+
     @property
     def connections(self) -> int:
         """How many callers' connections are open."""
@@ -59,9 +65,10 @@
         self._stopping = True
 
     async def stop(self, timeout: int) -> None:
-        """Take no more connections; wait up to *timeout* ms for requests, and close."""
+        """Take no more requests; wait up to *timeout* ms for the running ones, and close."""
         for site in tuple(self._runner.sites):
             await site.stop()
+        self._close_idle()
         try:
             async with asyncio.timeout(timeout / 1_000):
                 await self._idle.wait()
@@ -71,8 +78,18 @@
         await asyncio.sleep(0.05)
         await self._runner.cleanup()
 
+    def _close_idle(self) -> None:
+        """Close the connections without a request, as a request on them could not be finished."""
+        idle = [item for item in self._server.connections if item not in self._busy]
+        for connection in idle:
+            connection.force_close()
+        log.info("idle connections closed", extra={"closed": len(idle), "busy": len(self._busy)})
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.in_flight += 1
+        connection = request.protocol
+        if connection.transport is None:
+            raise ConnectionResetError("closed while this request was on its way")
+        self._busy.add(connection)
         self._idle.clear()
         exchange = Exchange(request, self._parts)
         try:
@@ -82,8 +99,8 @@
             self._metrics.count("requests.left")
             raise
         finally:
-            self.in_flight -= 1
-            if not self.in_flight:
+            self._busy.discard(connection)
+            if not self._busy:
                 self._idle.set()
         self._note(exchange.outcome)
         if self._stopping:
