Plan moves past a server that can't be relieved, and give hot keys a server alone

Cause: a plan ended at the busiest server when nothing of it could be moved. In the first second likewise one move was planned instead of four.

Ruled out: speed of moves (12 to 70 ms each); noise of the rates (the two keys had 666 and 352 of 2035 requests).

Change: the planner goes on with the next busiest server; it cuts keys on either side of a hot key away from it; a key that is more than its owner's share goes alone to a faster server that has no such key; the fair share is counted without keys that fill a server alone, since their excess can't be given to others.

Two of the four new tests fail on the planner before.

--- a/src/fuchsiatrack/ranges/load.py
+++ b/src/fuchsiatrack/ranges/load.py
@@ -4,6 +4,7 @@
 
 import bisect
 import dataclasses
+import heapq
 import itertools
 from collections.abc import Iterable, Mapping
 
@@ -22,6 +23,14 @@
 SERVICE_TIME_GAIN = 0.04
 
 
+@dataclasses.dataclass(frozen=True)
+class KeyRate:
+    """The rate of one key, in requests a second."""
+
+    key: int
+    rate: float
+
+
 @dataclasses.dataclass(frozen=True)
 class KeyRates:
     """Request rates at one moment, for sums over ranges; in requests a second."""
@@ -41,6 +50,16 @@
         end = bisect.bisect_right(self.keys, last)
         return self.sums[end] - self.sums[start] + self.even * (last - first + 1)
 
+    def heaviest(self, count: int, first: int = 0, last: int = LAST_KEY) -> list[KeyRate]:
+        """Return up to *count* keys from *first* to *last* with the most requests."""
+        start = bisect.bisect_left(self.keys, first)
+        end = bisect.bisect_right(self.keys, last)
+        known = (
+            KeyRate(self.keys[index], self.sums[index + 1] - self.sums[index])
+            for index in range(start, end)
+        )
+        return heapq.nlargest(count, known, key=lambda item: item.rate)
+
     def reach(self, first: int, last: int, rate: float) -> int:
         """Return the least key up to *last* such that *first* to it carry at least *rate*."""
         low, high = first, last
--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -4,11 +4,11 @@
 
 import abc
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from fuchsiatrack.directory.servers import ServerLife
 from fuchsiatrack.kernel.registry import register
-from fuchsiatrack.ranges.load import KeyRates
+from fuchsiatrack.ranges.load import KeyRate, KeyRates
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 
 # A server is relieved when it carries this much more than its share.
@@ -19,6 +19,13 @@
 MOVES_MAX = 4
 # Moves of less than this rate are not worth the wait, in requests a second.
 RATE_WORTH_MOVING = 0.7
+# A key goes to a server alone when it has at least this rate, in requests a second: some fifteen
+# requests within the memory of rates, so that no chance makes a key hot.
+HOT_RATE_MIN = 6.0
+# Servers with a key of more than this part of their share get no other hot key.
+HOT_SHARE = 0.5
+# A hot key moves to a server that has this many times the capacity of its owner.
+FASTER_RATIO = 1.25
 # Keys of a lost server go to several others in pieces of at least this share of their load.
 PIECE_SHARE = 0.34
 
@@ -77,13 +84,18 @@
         self._situation = situation
         self._rates = situation.rates
         self._loads = dict.fromkeys(situation.capacities, 0.0)
-        self._cut: dict[int, OwnedRange] = {}
+        self._cut: set[int] = set()
         for item in situation.ownership.ranges:
             life = item.successor or item.owner
             if life in self._loads:
                 self._loads[life] += self._rates.between(item.first, item.last)
-        capacity = sum(situation.capacities.values())
-        self._share_rate = self._rates.total / capacity if capacity else 0.0
+        hot = [
+            item
+            for item in self._rates.heaviest(len(situation.capacities))
+            if item.rate >= HOT_RATE_MIN
+        ]
+        self._share_rate = _fair_rate(self._rates.total, hot, situation.capacities.values())
+        self._taken = self._owners_of_hot(hot)
 
     def place_forced(self) -> list[PlannedMove]:
         """Place the ranges whose owners may own nothing, or whose successor is lost."""
@@ -98,17 +110,31 @@
     def balance(self) -> list[PlannedMove]:
         """Move keys from the busiest servers to the idlest ones."""
         moves: list[PlannedMove] = []
-        while len(moves) < MOVES_MAX and len(self._loads) > 1:
-            donor = max(self._loads, key=self._fullness)
+        donors = set(self._loads)
+        while len(moves) < MOVES_MAX and donors and len(self._loads) > 1:
+            donor = max(donors, key=self._fullness)
             receiver = min(self._loads, key=self._fullness)
             wanted = self._fullness(donor) >= OVERLOAD_RATIO
             starved = self._fullness(receiver) < UNDERLOAD_RATIO and self._fullness(donor) > 1
-            move = self._relieve(donor, receiver) if wanted or starved else None
-            if move is None:
+            if not wanted and not starved:
                 break
-            moves.append(move)
+            move = self._speed_up(donor) or self._relieve(donor, receiver)
+            if move is None:
+                donors.remove(donor)
+            else:
+                moves.append(move)
         return moves
 
+    def _owners_of_hot(self, hot: list[KeyRate]) -> set[ServerLife]:
+        """Return the servers that have, or will have, a key that fills much of their share."""
+        owners = set()
+        for peak in hot:
+            item = self._situation.ownership.find(peak.key)
+            life = item and (item.successor or item.owner)
+            if life in self._loads and peak.rate > self._share(life) * HOT_SHARE:
+                owners.add(life)
+        return owners
+
     def _fullness(self, life: ServerLife) -> float:
         """Return the load of *life* against its share."""
         share = self._share(life)
@@ -132,36 +158,70 @@
             first = last + 1
         return moves
 
+    def _speed_up(self, donor: ServerLife) -> PlannedMove | None:
+        """Move a key that is more than the share of *donor* to a faster server without one."""
+        if donor not in self._taken:
+            return None
+        peaks = [
+            peak
+            for item in self._movable(donor)
+            for peak in self._rates.heaviest(1, item.first, item.last)
+        ]
+        hottest = max(peaks, key=lambda peak: peak.rate, default=None)
+        if hottest is None or hottest.rate <= self._share(donor):
+            return None
+        capacities = self._situation.capacities
+        free = capacities.keys() - self._taken
+        fastest = max(free, key=lambda life: capacities[life], default=None)
+        if fastest is None or capacities[fastest] < capacities[donor] * FASTER_RATIO:
+            return None
+        self._taken.add(fastest)
+        return self._move(donor, PlannedMove(hottest.key, hottest.key, fastest))
+
     def _relieve(self, donor: ServerLife, receiver: ServerLife) -> PlannedMove | None:
+        """Move keys to *receiver* unless one of them would only move the overload there."""
         excess = self._loads[donor] - self._share(donor)
         room = self._share(receiver) - self._loads[receiver]
         wanted = min(max(excess, room / 2), room)
         if wanted < RATE_WORTH_MOVING:
             return None
-        item = self._densest(donor)
-        if item is None:
-            return None
-        move = self._cut_from(item, wanted, receiver)
-        moved = self._rates.between(move.first, move.last)
-        if moved > excess + wanted:
-            # One key carries most of it, and would only move the overload elsewhere.
-            return None
-        self._loads[donor] -= moved
-        self._loads[receiver] += moved
+        for item in self._movable(donor):
+            for move in self._pieces(item, wanted, receiver):
+                rate = self._rates.between(move.first, move.last)
+                if RATE_WORTH_MOVING <= rate <= excess + wanted:
+                    return self._move(donor, move)
+        return None
+
+    def _move(self, donor: ServerLife, move: PlannedMove) -> PlannedMove:
+        rate = self._rates.between(move.first, move.last)
+        self._cut.add(self._situation.ownership.find(move.first).first)
+        self._loads[donor] -= rate
+        self._loads[move.successor] += rate
         return move
 
-    def _densest(self, donor: ServerLife) -> OwnedRange | None:
-        """Return the range of *donor* with the most load a key that can still be cut."""
+    def _movable(self, donor: ServerLife) -> list[OwnedRange]:
+        """Return the ranges of *donor* that can still be cut, the most loaded first."""
         ranges = [
             item
             for item in self._situation.ownership.of(donor)
             if not item.is_moving and item.first not in self._cut
         ]
-        load = {item.first: self._rates.between(item.first, item.last) for item in ranges}
-        return max(ranges, key=lambda item: load[item.first], default=None)
+        return sorted(ranges, key=lambda item: -self._rates.between(item.first, item.last))
+
+    def _pieces(self, item: OwnedRange, rate: float, receiver: ServerLife) -> list[PlannedMove]:
+        """Return parts of *item* with about *rate*, the best one first."""
+        best = self._cut_from(item, rate, receiver)
+        pieces = [best]
+        for peak in self._rates.heaviest(1, best.first, best.last):
+            if item.first < peak.key:
+                last = self._rates.reach(item.first, peak.key - 1, rate)
+                pieces.append(PlannedMove(item.first, last, receiver))
+            if peak.key < item.last:
+                last = self._rates.reach(peak.key + 1, item.last, rate)
+                pieces.append(PlannedMove(peak.key + 1, last, receiver))
+        return pieces
 
     def _cut_from(self, item: OwnedRange, rate: float, receiver: ServerLife) -> PlannedMove:
-        self._cut[item.first] = item
         rest = self._rates.between(item.first, item.last) - rate
         if rest <= RATE_WORTH_MOVING:
             return PlannedMove(item.first, item.last, receiver)
@@ -170,3 +230,19 @@
             start = self._rates.reach(item.first, item.last, rest)
             return PlannedMove(min(start + 1, item.last), item.last, receiver)
         return PlannedMove(item.first, self._rates.reach(item.first, item.last, rate), receiver)
+
+
+def _fair_rate(total: float, hot: list[KeyRate], capacities: Collection[float]) -> float:
+    """Return the rate that each unit of capacity has to carry, in requests a second.
+
+    A key of *hot* (hottest first) that is more than a server's share counts as if it filled one
+    of the largest servers alone: its excess can't be given to others.
+    """
+    room = sum(capacities)
+    largest = sorted(capacities, reverse=True)
+    for peak, capacity in zip(hot, largest[:-1], strict=False):
+        if peak.rate * room <= capacity * total:
+            break
+        total -= peak.rate
+        room -= capacity
+    return total / room if room else 0.0
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -135,9 +135,11 @@
     return load.rates()
 
 
-def _carry_out(ownership: OwnershipMap, rates: KeyRates, rounds: int = 20) -> OwnershipMap:
-    capacities = dict.fromkeys(LIVES, 4.0)
-    for _ in range(rounds):
+def _carry_out(
+    ownership: OwnershipMap, rates: KeyRates, capacities: dict[ServerLife, float] | None = None
+) -> OwnershipMap:
+    capacities = capacities or dict.fromkeys(LIVES, 4.0)
+    for _ in range(20):
         for move in BalancedPlanner().plan(Situation(ownership, capacities, rates)):
             ownership = ownership.start_move(move.first, move.last, move.successor)
         for item in ownership.ranges:
@@ -177,6 +179,37 @@
         moves = BalancedPlanner().plan(situation)
         assert not any(move.first <= 5_000 <= move.last for move in moves)
 
+    def test_server_with_a_hot_key_does_not_keep_others_from_relief(self):
+        """The load of a day on which one key had a third of the requests for seconds."""
+        even = dict.fromkeys(range(0, LAST_KEY, 97), 1)
+        crowded = dict.fromkeys(range(20_000, 20_600, 2), 1)
+        rates = _rates(even | crowded | {41_121: 1_500})
+        settled = _carry_out(divide_evenly(LIVES, 1), rates)
+        shares = _shares(settled, rates)
+        hot = settled.find(41_121).owner
+        others = [share for life, share in shares.items() if life != hot]
+        assert max(others) < 1.3 * sum(others) / len(others)
+
+    def test_owner_of_a_hot_key_loses_its_other_keys(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1) | {41_121: 1_500})
+        settled = _carry_out(divide_evenly(LIVES, 1), rates)
+        hot = settled.find(41_121).owner
+        beside = sum(rates.between(item.first, item.last) for item in settled.of(hot))
+        beside -= rates.between(41_121, 41_121)
+        assert beside < 0.02 * rates.total
+
+    def test_hot_keys_go_to_the_fastest_servers(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1) | {41_121: 3_000, 42_438: 1_800})
+        capacities = dict(zip(LIVES, (8.0, 2.0, 4.0, 6.0), strict=True))
+        settled = _carry_out(divide_evenly(LIVES, 1), rates, capacities)
+        assert {settled.find(key).owner for key in (41_121, 42_438)} == {LIVES[0], LIVES[3]}
+
+    def test_few_requests_make_no_key_hot(self):
+        rates = _rates({5_000: 2, 60_000: 1})
+        capacities = dict(zip(LIVES, (2.0, 2.0, 2.0, 8.0), strict=True))
+        moves = BalancedPlanner().plan(Situation(divide_evenly(LIVES, 1), capacities, rates))
+        assert not any(move.first == move.last == 5_000 for move in moves)
+
     def test_lost_server_leaves_everything(self):
         rates = _rates(dict.fromkeys(range(0, LAST_KEY, 97), 1))
         capacities = dict.fromkeys(LIVES[1:], 4.0)
