Bound calls to the store without aiohttp's total timeout

When both timers are due in one turn of the event loop, aiohttp's timer context, which is entered twice, takes back both cancellations and raises TimeoutError; the append loop goes on for ever.

Ruled out: asyncio.timeout alone (two nested ones that end together keep both effects); the slow stop of requests (none was running).

Change: the client bounds its calls with asyncio.timeout and gives aiohttp no total timeout; the same in the former grant client.

Conclusion: every task that is cancelled while it calls the store ends.

--- a/src/fuchsiatrack/control/grantclient.py
+++ b/src/fuchsiatrack/control/grantclient.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 import dataclasses
 import hashlib
 from collections.abc import Sequence
@@ -83,7 +84,7 @@
         self._url = f"http://{server.address}/fuchsiatrack/grants"
         self._session = session
         self._clock = clock
-        self._timeout = aiohttp.ClientTimeout(total=timeout / 1000)
+        self._timeout_s = timeout / 1000
         self._given: tuple[Grant, ...] = ()
         self._digest = ""
 
@@ -128,9 +129,10 @@
 
     async def _call(self, method: str, path: str, body: Any) -> dict[str, Any]:
         try:
-            async with self._session.request(
-                method, self._url + path, json=body, timeout=self._timeout
-            ) as got:
+            async with (
+                asyncio.timeout(self._timeout_s),
+                self._session.request(method, self._url + path, json=body) as got,
+            ):
                 if got.status != 200:
                     raise ServerUnreachable(f"{method} {path} answered {got.status}")
                 return await got.json()
@@ -150,11 +152,11 @@
         self._url = f"http://{server.address}/probe"
         self._session = session
         self._clock = clock
-        self._timeout = aiohttp.ClientTimeout(total=timeout / 1000)
+        self._timeout_s = timeout / 1000
 
     async def read_clock(self) -> Reading:
         try:
-            async with self._session.get(self._url, timeout=self._timeout) as got:
+            async with asyncio.timeout(self._timeout_s), self._session.get(self._url) as got:
                 if got.status != 200:
                     raise ServerUnreachable(f"probe answered {got.status}")
         except (TimeoutError, aiohttp.ClientError) as error:
--- a/src/fuchsiatrack/platform/store.py
+++ b/src/fuchsiatrack/platform/store.py
@@ -127,11 +127,15 @@
         self, method: str, path: str, query: dict[str, str], timeout: int, data: bytes | None
     ) -> tuple[int, bytes]:
         """Return status and body; raise PlatformUnavailable without a whole answer."""
-        limits = aiohttp.ClientTimeout(total=timeout / 1_000, sock_connect=CONNECT_TIMEOUT / 1_000)
+        # A cancellation at the moment when aiohttp's own total timeout ends would be lost.
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT / 1_000)
         try:
-            async with self._client().request(
-                method, self._url + path, params=query, data=data, timeout=limits
-            ) as response:
+            async with (
+                asyncio.timeout(timeout / 1_000),
+                self._client().request(
+                    method, self._url + path, params=query, data=data, timeout=limits
+                ) as response,
+            ):
                 return response.status, await response.read()
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import pathlib
 import re
+import time
 
 import pytest
 from hypothesis import given
@@ -16,6 +19,7 @@
 from fuchsiatrack.gateway.settings import Endpoint, SettingsError
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable, RecordsExpired
 from fuchsiatrack.platform import records
+from fuchsiatrack.platform import store as store_module
 from fuchsiatrack.platform.edge import PlatformEdge
 from fuchsiatrack.platform.settings import METRICS_PORT, load_settings
 from fuchsiatrack.platform.store import StoreClient
@@ -124,6 +128,26 @@
 class TestStoreClient:
     """The log on the platform's store."""
 
+    async def test_cancellation_at_the_moment_of_a_timeout_is_not_lost(
+        self, store, client, monkeypatch
+    ):
+        """A leader that stopped while the store was silent went on writing until it was killed."""
+        monkeypatch.setattr(store_module, "APPEND_TIMEOUT", 100)
+        store.mode = Mode.SILENT
+
+        async def append_for_ever() -> None:
+            while True:
+                with contextlib.suppress(PlatformUnavailable):
+                    await client.append(STREAM, [("a", b"1")])
+
+        task = asyncio.create_task(append_for_ever())
+        await asyncio.sleep(0.05)
+        asyncio.get_running_loop().call_later(0.05, task.cancel)
+        # Both timers are due when the loop goes on.
+        time.sleep(0.2)
+        await asyncio.sleep(0.05)
+        assert task.cancelled()
+
     async def test_records_come_back_in_order(self, store, client):
         await client.append(STREAM, [("a", b"1"), ("b", b"2"), ("a", b"")])
         page = await client.read(STREAM, 0, 0)
