Keep the keys through an outage of a store that answers nothing

A renewal that gets no answer is known to have failed after 1,000 ms, and long grants began 1,300 ms after that: 20.56 s, when the lease had ended at 20.05 s. All keys lapsed at 24 s: 1,373 to 1,541 requests a second answered "moved". 2. When the same leader might act again, it took every server for unreachable, as the last grants were 7.4 s old, and moved 44 ranges to the two other servers: 371 requests in half a second answered "overloaded". 3. A leader that got SIGTERM in the outage stopped its control, and its watch loop started it again in the same term, with grants that its last word did not count. 4. While a merge of ranges is being saved, none of the merged ranges was renewed, as the merge gave them a new fence.

Change: long grants begin once no renewal has been confirmed for 1,700 ms, for all servers at once; a server is unreachable after two failed grants and 600 ms, not after silence; a leader without an answering store keeps its term and grants when it is stopped, and one that resigns starts no control again; ranges are renewed as far as the change that is being saved leaves them, and a merge keeps the greater of the fences.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -138,6 +138,8 @@
         await self._clock.sleep_until(started + LEAVE_TIME)
         left = started + self._settings.stop_grace - STOP_MARGIN - self._clock.now()
         await self._listener.stop(max(left, 0))
+        # The log may have come back meanwhile.
+        await self._ranges.resign()
         await self._close()
         log.info("daemon stopped", extra={"took_ms": self._clock.now() - started})
 
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -42,6 +42,9 @@
 MISROUTED_PAUSE = 300
 # Without a reply of the leader for this long, nobody tells of missed records, in milliseconds.
 PEERS_TIMEOUT = 1_200
+# Longest wait for the record of a resignation, in milliseconds: one append, within the time in
+# which a stopping daemon takes requests anyway.
+RESIGN_TIMEOUT = 1_000
 PLANNER = "balanced"
 
 log = logging.getLogger(__name__)
@@ -74,6 +77,7 @@
         self._controllers: dict[str, RangeController] = {}
         self._control: dict[str, asyncio.Task] = {}
         self._controlled_term = 0
+        self._is_resigning = False
         self._members = Members(clock)
         self._counts: dict[str, collections.Counter[int]] = {}
         self._channel = ReportChannel(
@@ -135,13 +139,20 @@
         return [self._follower.run(), self.leadership.run(), self._report(), self._lead()]
 
     async def resign(self) -> None:
-        """Give up leadership, if held, so that another daemon takes over at once."""
-        if not self.leadership.is_mine:
+        """Give up leadership, if held, so that another daemon takes over at once.
+
+        While the log doesn't answer nobody could take over, so that this daemon goes on granting.
+        """
+        if self._is_resigning or not self.leadership.is_mine:
+            return
+        if not self.leadership.is_confirmed:
+            log.warning("term is kept, as the log doesn't answer")
             return
+        self._is_resigning = True
         term, addresses = self.leadership.current.number, self._members.addresses
         self._stop_control()
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(RESIGN_TIMEOUT / 1_000):
                 await self.leadership.resign(self._long_for())
         except TimeoutError:
             log.warning("term could not be resigned")
@@ -161,7 +172,8 @@
         """Run one controller for each keyed service while this daemon leads."""
         while True:
             if self.leadership.may_act():
-                self._start_control()
+                if not self._is_resigning:
+                    self._start_control()
             elif not self.leadership.is_mine:
                 self._stop_control()
             await self._clock.sleep(WATCH_PERIOD)
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -155,7 +155,7 @@
 
     async def _start_moves(self) -> None:
         if len(self._map.ranges) > RANGES_PER_SERVER_MAX * len(self._capacities()):
-            await self._update(OwnershipMap.merge_neighbours)
+            await self._merge_ranges()
         situation = Situation(self._map, self._capacities(), self.load.rates())
         moves = self._planner.plan(situation)
         if not moves:
@@ -171,6 +171,14 @@
             }
             log.info("move started", extra=fields)
 
+    async def _merge_ranges(self) -> None:
+        before = len(self._map.ranges)
+        await self._update(OwnershipMap.merge_neighbours)
+        after = len(self._map.ranges)
+        if after < before:
+            fields = {"service": self._service, "before": before, "after": after}
+            log.info("ranges merged", extra=fields)
+
     async def _update(self, change: Callable[[OwnershipMap], OwnershipMap]) -> None:
         """Change the map, first on the log."""
         async with self._write:
--- a/src/fuchsiatrack/ranges/ownership.py
+++ b/src/fuchsiatrack/ranges/ownership.py
@@ -110,16 +110,20 @@
         return OwnershipMap(ranges, fence)
 
     def merge_neighbours(self) -> OwnershipMap:
-        """Return a map in which ranges of one owner that touch are one, under a new fence."""
-        fence = self.fence + 1
+        """Return a map in which ranges of one owner that touch are one.
+
+        The greater fence of the two is above every other owner's, since no two owners ever get
+        the same one, so grants go on under fences that are already used.
+        """
         ranges: list[OwnedRange] = []
         for item in self.ranges:
             before = ranges[-1] if ranges else None
             if before and before.owner == item.owner and not (before.is_moving or item.is_moving):
+                fence = max(before.fence, item.fence)
                 ranges[-1] = OwnedRange(before.first, item.last, item.owner, fence)
             else:
                 ranges.append(item)
-        return OwnershipMap(tuple(ranges), fence) if len(ranges) < len(self.ranges) else self
+        return OwnershipMap(tuple(ranges), self.fence) if len(ranges) < len(self.ranges) else self
 
     def with_revision(self, revision: int) -> OwnershipMap:
         """Return the same map as change number *revision*."""
--- a/src/fuchsiatrack/ranges/renewals.py
+++ b/src/fuchsiatrack/ranges/renewals.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import dataclasses
 import itertools
 import logging
 from collections.abc import Callable
@@ -24,16 +25,16 @@
 # Length of a grant while the log answers, in milliseconds: outlasts the loss of a leader with the
 # takeover, and bounds how long the keys of a lost server wait.
 GRANT_HOLD = 4_000
-# Length of a grant while renewals of the term fail, in milliseconds, if servers take it: outlasts
+# Length of a grant while the lease is at risk, in milliseconds, if servers take it: outlasts
 # an outage of the log of nine seconds together with the lease.
 LONG_HOLD = 7_500
 # Part of a grant after which it is renewed.
 RENEW_PART = 0.25
 # Longest wait for the answer to a grant, in milliseconds.
 GRANT_TIMEOUT = 600
-# A server that takes no grant for this long loses its keys, in milliseconds: one failed renewal
-# and one more on a new connection.
-UNREACHABLE_MAX = 1_200
+# A server loses its keys when its grants have failed for this long, in milliseconds, and at least
+# twice: known well before the grants that it has run out.
+UNREACHABLE_MAX = 600
 # Pause between connections that are tried to a server that took no grants, in milliseconds.
 PROBE_PERIOD = 1_000
 # Pause before a server is granted again after a call failed, in milliseconds.
@@ -42,6 +43,14 @@
 log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Failures:
+    """Grants that a server did not take since the last one that it took."""
+
+    since: int
+    count: int
+
+
 class OwnershipView(abc.ABC):
     """The map of the service that grants follow."""
 
@@ -86,9 +95,10 @@
         self._view = view
         self._renewers: dict[ServerLife, asyncio.Task] = {}
         self._wakes: dict[ServerLife, asyncio.Event] = {}
-        self._reached_at: dict[ServerLife, int] = {}
+        self._failures: dict[ServerLife, Failures] = {}
         self._unreachable: set[ServerLife] = set()
         self._probes: dict[ServerLife, asyncio.Task] = {}
+        self._was_at_risk = False
         self.holds = HoldLedger(clock)
 
     def inherit(self, moving_since: Callable[[OwnedRange], int]) -> None:
@@ -136,23 +146,38 @@
 
     def note_reached(self, life: ServerLife) -> None:
         """Take in that *life* has answered a call."""
-        self._reached_at[life] = self._clock.now()
+        self._failures.pop(life, None)
         if life in self._unreachable:
             self._unreachable.discard(life)
             log.info("server can be reached again", extra={"server": life.server})
 
     def check_servers(self) -> None:
-        """Find owners that take no grants."""
+        """Find owners that take no grants, and grant all for long once the lease is at risk."""
+        self._note_risk()
         now = self._clock.now()
         for entry in self._directory.of_service(self._service):
-            reached_at = self._reached_at.setdefault(entry.life, now)
-            lost = now - reached_at > UNREACHABLE_MAX and bool(self._view.current.of(entry.life))
-            if lost and entry.life not in self._unreachable:
+            failures = self._failures.get(entry.life)
+            if failures is None or failures.count < 2 or not self._view.current.of(entry.life):
+                continue
+            failing_for = now - failures.since
+            if failing_for >= UNREACHABLE_MAX and entry.life not in self._unreachable:
                 self._unreachable.add(entry.life)
-                fields = {"server": entry.id, "silent_ms": now - reached_at}
+                fields = {"server": entry.id, "failing_ms": failing_for, "tries": failures.count}
                 log.warning("server can't be reached", extra=fields)
                 self._probes[entry.life] = asyncio.create_task(self._probe(entry))
 
+    def _note_failure(self, life: ServerLife) -> None:
+        before = self._failures.get(life, Failures(self._clock.now(), 0))
+        self._failures[life] = dataclasses.replace(before, count=before.count + 1)
+
+    def _note_risk(self) -> None:
+        is_at_risk = self._leadership.is_lease_at_risk
+        if is_at_risk and not self._was_at_risk:
+            log.warning("lease at risk; grants last long", extra={"service": self._service})
+            for wake in self._wakes.values():
+                wake.set()
+        self._was_at_risk = is_at_risk
+
     async def _probe(self, entry: ServerEntry) -> None:
         """Try to connect to a server that took no grants until it can be reached again."""
         while entry.life in self._unreachable and self._entry(entry.life):
@@ -181,8 +206,8 @@
             await self._sleep_or_wake(wake, min(pause, int(GRANT_HOLD * RENEW_PART)))
 
     def _hold(self) -> int:
-        """Return how long grants last: long ones while renewals of the term fail."""
-        if not self._leadership.has_faltered_long:
+        """Return how long grants last: long ones while the lease is at risk."""
+        if not self._leadership.is_lease_at_risk:
             return GRANT_HOLD
         end = self._clock.now() + GRANT_TIMEOUT + longest_hold(self._long_hold)
         self._long_until = max(self._long_until, end)
@@ -200,6 +225,7 @@
                 await self._grant(entry, item, hold)
             except (NoAnswer, NotDelivered) as error:
                 log.info("grant failed", extra={"server": entry.id, "why": str(error)})
+                self._note_failure(life)
                 return False
             except GrantRefused as error:
                 await self._raise_fence(item, str(error))
@@ -207,13 +233,15 @@
 
     def _renewable(self, life: ServerLife) -> list[OwnedRange]:
         """Return what *life* owns on the log and will own after the change that is being saved."""
-        planned = self._view.planned
+        kept = [item for item in self._view.planned.of(life) if not item.is_moving]
+        owned = [item for item in self._view.current.of(life) if not item.is_moving]
         return [
-            item
-            for item in planned.of(life)
-            if not item.is_moving
-            and (known := self._view.current.find(item.first)) is not None
-            and (known.owner, known.fence) == (life, item.fence)
+            dataclasses.replace(
+                item, first=max(item.first, other.first), last=min(item.last, other.last)
+            )
+            for item in owned
+            for other in kept
+            if item.overlaps(other.first, other.last)
         ]
 
     async def _grant(self, entry: ServerEntry, item: OwnedRange, hold: int) -> None:
--- a/src/fuchsiatrack/ranges/term.py
+++ b/src/fuchsiatrack/ranges/term.py
@@ -26,6 +26,8 @@
 LEASE = 2_500
 # Pause between renewals, in milliseconds.
 RENEW_PERIOD = 700
+# Without a renewal for this long one is overdue, in milliseconds: the pause and a slow answer.
+RENEWAL_DUE = RENEW_PERIOD + 300
 # Pause after a renewal that failed, in milliseconds.
 RENEW_RETRY = 200
 # A leader that answers nothing for this long is looked up in the log, in milliseconds: three load
@@ -45,9 +47,9 @@
 # A leader whose renewals fail is replaced after this long by a daemon that reaches the log, in
 # milliseconds: one retry of a renewal.
 FALTER_TOLERANCE = 300
-# Renewals that fail for this long make the leader grant for long, in milliseconds: leaves time
-# for another daemon to take over first, and for the grants before the lease ends.
-LONG_FALTER = 1_300
+# Without a renewal for this long the leader grants for long, in milliseconds: a renewal that is
+# due and gets no answer at all, so that the rest of the lease is left for the grants.
+LEASE_AT_RISK = 1_700
 
 log = logging.getLogger(__name__)
 
@@ -138,9 +140,17 @@
         log.info("term changed", extra=fields)
 
     @property
-    def has_faltered_long(self) -> bool:
-        """Whether renewals have failed for so long that the lease may end."""
-        return self._falters_since is not None and self._faltered_for() >= LONG_FALTER
+    def is_lease_at_risk(self) -> bool:
+        """Whether no renewal has been confirmed for so long that the lease may end.
+
+        A store that answers nothing shows this long before the renewal is known to have failed.
+        """
+        return self.may_act() and self._clock.now() - self._confirmed_at >= LEASE_AT_RISK
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the latest renewal that was due has been confirmed in time."""
+        return self.may_act() and self._clock.now() - self._confirmed_at < RENEWAL_DUE
 
     @property
     def is_faltering(self) -> bool:
@@ -163,9 +173,6 @@
             self._lose(f"term {number} has begun")
             self._read_on()
 
-    def _faltered_for(self) -> int:
-        return self._clock.now() - (self._falters_since or 0)
-
     async def run(self) -> None:
         """Claim terms when there is no leader, and keep them, until cancelled."""
         while True:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fuchsiatrack_standins.fleet.store import Mode
 from tests.fleet import HOST, Fleet, route, run_fleet
 
 READS = route("reads", "/reads/", "safe", "catalogue")
@@ -322,8 +323,6 @@
         assert taken.misrouted <= 1
 
     async def test_entries_that_lapse_in_an_outage_are_kept_for_a_while(self, fleet: Fleet):
-        from fuchsiatrack_standins.fleet.store import Mode
-
         fleet.store.mode = Mode.BUSY
         for follower in fleet.daemons["entry-1"]._followers.values():
             follower.hurry()
@@ -366,6 +365,29 @@
         assert (await call)[0] == 200
         await stop
 
+    async def test_leader_stops_in_time_while_the_store_is_silent(self, fleet: Fleet):
+        """Its resignation can't be written, and must not keep it from ending."""
+        daemon = fleet.daemons["entry-1"]
+        await _wait_for(daemon._ranges.leadership.may_act, 3.0)
+        fleet.store.mode = Mode.SILENT
+        started = asyncio.get_running_loop().time()
+        stop = asyncio.create_task(fleet.stop_daemon("entry-1"))
+        await asyncio.sleep(0.3)
+        # What it says of its grants must stay true until the record is written.
+        assert not daemon._ranges._controllers
+        await stop
+        assert asyncio.get_running_loop().time() - started < 4.0
+
+    async def test_leader_without_a_store_grants_for_long_before_it_ends(self, fleet: Fleet):
+        """Nobody can take over, so the servers have to last until the store is back."""
+        await _wait_for(fleet.daemons["entry-1"]._ranges.leadership.may_act, 3.0)
+        fleet.store.mode = Mode.SILENT
+        await asyncio.sleep(1.4)
+        await fleet.stop_daemon("entry-1")
+        await asyncio.sleep(2.5)
+        keys = range(0, 65_536, 4_096)
+        assert all(any(item.holds(key) for item in fleet.servers.values()) for key in keys)
+
     async def test_leader_that_resigns_leaves_no_long_wait(self, fleet: Fleet):
         await fleet.add_daemon("entry-2")
         await fleet.wait_ready()
--- a/tests/test_range_faults.py
+++ b/tests/test_range_faults.py
@@ -145,7 +145,7 @@
         elif kind == 3:
             self.granter.loss = self.rng.choice((0.0, 0.3))
         elif kind == 4:
-            self.leadership.has_faltered_long = not self.leadership.has_faltered_long
+            self.leadership.is_lease_at_risk = not self.leadership.is_lease_at_risk
         else:
             self.leadership.is_mine = False
             self.task.cancel()
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -21,10 +21,11 @@
 from fuchsiatrack.ranges.granting import GrantRefused, NoAnswer, NotDelivered, RangeGranter
 from fuchsiatrack.ranges.holds import HoldLedger
 from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
-from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap, divide_evenly
+from fuchsiatrack.ranges.ownership import LAST_KEY, OwnedRange, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.planner import BalancedPlanner, Situation, StayPlanner
 from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, Term
-from fuchsiatrack.ranges.term import Leadership, NotLeading
+from fuchsiatrack.ranges.renewals import GrantKeeper, OwnershipView
+from fuchsiatrack.ranges.term import LEASE, Leadership, NotLeading
 from fuchsiatrack_standins.fleet.store import Mode, StoreStandIn
 from tests.fleet import endpoint_of
 
@@ -65,6 +66,7 @@
                 ownership = ownership.start_move(first, last, data.draw(st.sampled_from(LIVES)))
             else:
                 ownership = ownership.merge_neighbours()
+                assert ownership.fence == before.fence
             assert _is_partition(ownership)
             for item in ownership.ranges:
                 old = before.find(item.first)
@@ -324,6 +326,16 @@
         await first.close()
         await second.close()
 
+    @pytest.mark.parametrize("mode", [Mode.SILENT, Mode.BUSY])
+    async def test_lease_is_at_risk_in_time_for_every_server(self, store: StoreStandIn, mode: Mode):
+        """Servers are granted once a second; a store that answers nothing must not hide it."""
+        leader = Candidate(store, "vm-1")
+        await _wait_for(leader.leadership.may_act)
+        store.mode = mode
+        await _wait_for(lambda: leader.leadership.is_lease_at_risk, LEASE / 1_000)
+        assert leader.leadership.acts_until - leader.clock.now() >= 600
+        await leader.close()
+
     async def test_lost_answers_write_once(self, store: StoreStandIn):
         leader = Candidate(store, "vm-1")
         await _wait_for(leader.leadership.may_act)
@@ -463,7 +475,7 @@
 
     def __init__(self) -> None:
         self.is_mine = True
-        self.has_faltered_long = False
+        self.is_lease_at_risk = False
 
     def may_act(self) -> bool:
         return self.is_mine
@@ -529,7 +541,7 @@
     async def test_faltering_leader_grants_for_long(self, parts):
         granter, leadership, _, _ = parts
         await _wait_for(lambda: granter.holders(0))
-        leadership.has_faltered_long = True
+        leadership.is_lease_at_risk = True
         await _wait_for(lambda: granter.log[-1][0] == "grant" and granter.log[-1][5] == 1_500)
 
     async def test_keys_of_an_unreachable_server_wait_for_its_grants(self, parts):
@@ -598,6 +610,97 @@
         assert len(granter.log) == before
 
 
+class FixedView(OwnershipView):
+    """The map on the log and the one that is being saved."""
+
+    current = OwnershipMap()
+    planned = OwnershipMap()
+
+    def __init__(self, current: OwnershipMap, planned: OwnershipMap) -> None:
+        self.current = current
+        self.planned = planned
+
+    async def raise_fence(self, item: OwnedRange) -> None:
+        raise AssertionError(f"grant of {item} was refused")
+
+
+class TestGrantKeeper:
+    """What is renewed while a change of the map is being saved."""
+
+    def _create(
+        self, current: OwnershipMap, planned: OwnershipMap
+    ) -> tuple[GrantKeeper, FakeGranter, FakeLeadership]:
+        clock, leadership = SystemClock(), FakeLeadership()
+        directory = ServerDirectory(clock)
+        for life in LIVES:
+            directory.put(_entry(life))
+        granter, view = FakeGranter(clock), FixedView(current, planned)
+        keeper = GrantKeeper("stock", leadership, directory, granter, clock, 9_000, view)
+        keeper.sync()
+        return keeper, granter, leadership
+
+    async def _granted(self, current: OwnershipMap, planned: OwnershipMap) -> FakeGranter:
+        keeper, granter, _ = self._create(current, planned)
+        await asyncio.sleep(0.05)
+        keeper.close()
+        return granter
+
+    async def test_merged_ranges_are_renewed(self):
+        """A store that was down for five seconds kept a merge of ranges pending all the while."""
+        whole = divide_evenly(LIVES, 1)
+        halves = (
+            OwnedRange(0, 99, LIVES[0], 3, "token"),
+            OwnedRange(100, whole.ranges[0].last, LIVES[0], 2),
+        )
+        current = OwnershipMap((*halves, *whole.ranges[1:]), 3)
+        granter = await self._granted(current, current.merge_neighbours())
+        assert all(len(granter.holders(key)) == 1 for key in range(0, LAST_KEY, 99))
+
+    async def test_long_grants_wait_for_no_renewal(self):
+        current = divide_evenly(LIVES, 1)
+        keeper, granter, leadership = self._create(current, current)
+        await asyncio.sleep(0.05)
+        leadership.is_lease_at_risk = True
+        for _ in range(2):
+            keeper.check_servers()
+            await asyncio.sleep(0.05)
+        keeper.close()
+        holds = [entry[5] for entry in granter.log]
+        assert holds == [4_000] * len(LIVES) + [7_500] * len(LIVES)
+
+    async def test_leader_that_may_act_again_finds_its_servers_reachable(self, monkeypatch):
+        """It sent no grants while its lease was over, so their silence says nothing."""
+        monkeypatch.setattr(renewals, "UNREACHABLE_MAX", 200)
+        current = divide_evenly(LIVES, 1)
+        keeper, _, leadership = self._create(current, current)
+        await asyncio.sleep(0.05)
+        leadership.is_mine = False
+        await asyncio.sleep(0.4)
+        leadership.is_mine = True
+        keeper.check_servers()
+        assert all(keeper.is_reachable(life) for life in LIVES)
+        keeper.close()
+
+    async def test_server_that_fails_twice_is_unreachable(self, monkeypatch):
+        monkeypatch.setattr(renewals, "UNREACHABLE_MAX", 100)
+        current = divide_evenly(LIVES, 1)
+        keeper, granter, _ = self._create(current, current)
+        granter.unreachable.add("s1:1")
+        await asyncio.sleep(0.1)
+        keeper.check_servers()
+        assert keeper.is_reachable(LIVES[1])
+        await asyncio.sleep(0.2)
+        keeper.check_servers()
+        assert [life for life in LIVES if not keeper.is_reachable(life)] == [LIVES[1]]
+        keeper.close()
+
+    async def test_rest_of_a_range_that_is_cut_is_renewed(self):
+        current = divide_evenly(LIVES, 1)
+        granter = await self._granted(current, current.start_move(100, 199, LIVES[3]))
+        assert granter.holders(150) == []
+        assert all(len(granter.holders(key)) == 1 for key in (0, 99, 200, 5_000, LAST_KEY))
+
+
 def _entry(life: ServerLife) -> ServerEntry:
     return ServerEntry(life, "stock", f"{life.server}:{life.born}", "a", 4, False, False)
 
