Read the directory in larger batches, and trust an open poll for 250 ms

Ruled out: ownership (132 reads, every 3 s) and renewals (60), which stay.

Change: the pause after records is 500 ms instead of 200, still a quarter of the time that a leaving server goes on serving; a peer's offset breaks no pause, and breaks a poll only when it hasn't brought as much after 250 ms.

--- a/src/fuchsiatrack/control/keyedlog.py
+++ b/src/fuchsiatrack/control/keyedlog.py
@@ -18,6 +18,9 @@
 LONELY_POLL_WAIT = 2_200
 # Pause after a failed read, in milliseconds.
 RETRY_PAUSE = 400
+# How far ahead of this daemon a peer may be in time, in milliseconds, before an open poll counts as
+# lost: the slowest answer of a log that is well.
+PEER_LEAD = 250
 # A listing read within this time of a failed read may lack servers that are alive, in
 # milliseconds: they need about two seconds to list themselves again.
 OUTAGE_AFTERMATH = 2_500
@@ -171,9 +174,18 @@
         self.caught_up.set()
 
     def hear(self, known: int) -> None:
-        """Take in that a peer has read up to offset *known*; read at once when that is more."""
+        """Take in that a peer has read up to offset *known*.
+
+        An open poll that doesn't bring as much soon is given up for a new one; in a pause the
+        next read is near anyway.
+        """
         self._has_peers = True
-        if known > self.next:
+        if known > self.next and self._poll is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(PEER_LEAD / 1_000, self._check_poll, self._poll, known)
+
+    def _check_poll(self, poll: asyncio.Task[KeyedPage], known: int) -> None:
+        if self._poll is poll and known > self.next:
             self.hurry()
 
     def lose_peers(self) -> None:
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -39,8 +39,8 @@
 BODY_IDLE_TIMEOUT = 10_000
 HOUSEKEEPING_PERIOD = 1_000
 # Pause between reads of the directory after an entry came, in milliseconds: servers often list
-# themselves together, and leaving ones are still served for some time.
-DIRECTORY_PAUSE = 200
+# themselves together, and leaving ones are still served for some time, at least four times this.
+DIRECTORY_PAUSE = 500
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tests/test_streamfollower.py
@@ -0,0 +1,96 @@
+"""Reading a stream of the log with few calls."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fuchsiatrack.control.keyedlog import (
+    KeyedLog,
+    KeyedPage,
+    KeyedRecord,
+    Stream,
+    StreamFollower,
+)
+from fuchsiatrack.kernel.clock import SystemClock
+
+
+class FakeLog(KeyedLog):
+    """A stream in memory; while `is_deaf` is set, open polls hear nothing of new records."""
+
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+        self.reads = 0
+        self.is_deaf = False
+        self._grown = asyncio.Condition()
+
+    async def newest(self, stream: Stream) -> KeyedPage:
+        return KeyedPage(tuple(self.records), len(self.records))
+
+    async def read(self, stream: Stream, first: int, wait: int) -> KeyedPage:
+        self.reads += 1
+        if self.is_deaf and wait:
+            await asyncio.sleep(wait / 1_000)
+        if wait:
+            async with self._grown:
+                await self._grown.wait_for(lambda: len(self.records) > first)
+        return KeyedPage(tuple(self.records[first:]), len(self.records))
+
+    async def append(self, stream, records, *, at=None, writer=None) -> int:
+        for key, value in records:
+            self.records.append(KeyedRecord(key, value, len(self.records)))
+        async with self._grown:
+            self._grown.notify_all()
+        return len(self.records)
+
+
+class TestStreamFollower:
+    """Few calls, and none that is missed."""
+
+    @pytest.fixture
+    async def parts(self):
+        log, seen = FakeLog(), []
+        follower = StreamFollower(
+            log,
+            Stream("servers"),
+            SystemClock(),
+            lambda records, away: None,
+            lambda record, away: seen.append(record.key),
+            pause=200,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.05)
+        yield log, follower, seen
+        task.cancel()
+
+    async def test_records_that_come_together_take_two_reads(self, parts):
+        """One server after the other lists itself, and peers tell how far they have read."""
+        log, follower, seen = parts
+        for index in range(10):
+            await log.append(Stream("servers"), [(f"s{index}", b"")])
+            follower.hear(index + 1)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        assert len(seen) == 10
+        # The poll that brought the first, the one after the pause, and the one that is open now.
+        assert log.reads == 3
+
+    async def test_peer_that_is_ahead_for_a_moment_costs_no_read(self, parts):
+        log, follower, seen = parts
+        follower.hear(1)
+        await asyncio.sleep(0.05)
+        await log.append(Stream("servers"), [("s0", b"")])
+        await asyncio.sleep(0.5)
+        assert seen == ["s0"]
+        assert log.reads == 2
+
+    async def test_lost_poll_is_replaced(self, parts):
+        log, follower, seen = parts
+        log.is_deaf = True
+        follower.hurry()
+        await asyncio.sleep(0.05)
+        await log.append(Stream("servers"), [("s0", b"")])
+        follower.hear(1)
+        await asyncio.sleep(0.4)
+        assert seen == ["s0"]
