Let daemons take turns at a server that is full with one request of each

Cause: a daemon's limit at a server never fell below one request.

Ruled out: connections as such (6 of each daemon at most; the server lowers its cap while its queue is long); the choice of owner (the key is alone at its server).

Change: a limit below 1 is the part of the time in which the daemon has a request at the server; it doubles after an answer while nobody waits there and halves after one while more wait than there are slots. The pause between two requests is 1.5 s at most. The expected wait, and with it what is refused at once and the time to come back, counts it.

The share that is refused stays: the key needs about twice what a server can do.

--- a/src/fuchsiatrack/gateway/gates.py
+++ b/src/fuchsiatrack/gateway/gates.py
@@ -16,9 +16,15 @@
 # Requests at one server from this daemon before anything is known of its load.
 FIRST_LIMIT = 4.0
 # Steps of the limit after an answer: up while nobody waits at the server, down while more wait
-# than it has slots, which is one more service time.
+# than it has slots, which is one more service time.  Small limits double and halve instead.
 RAISE_STEP = 0.5
 LOWER_STEP = 0.5
+# Least limit. Below 1 a daemon has one request at the server for that part of the time: daemons
+# can be more than a server has places, here up to about a hundred times as many.
+LEAST_LIMIT = 0.05
+# Longest pause between two requests at a limit below 1, in milliseconds, so that the return of a
+# server is seen.
+PAUSE_MAX = 1_500
 # Factor of the limit after the server refused a request for lack of room.
 SHED_FACTOR = 0.6
 # Part of the wait that a request can afford which the queue may take, since the expected wait is
@@ -27,26 +33,36 @@
 
 
 class ConcurrencyLimit:
-    """Follows what a server reports; between 1 and the *most* of each call."""
+    """Follows what a server reports; between `LEAST_LIMIT` and the *most* of each call."""
 
     def __init__(self) -> None:
         self._limit = FIRST_LIMIT
 
     def current(self, most: int) -> int:
-        """Return how many requests may be at the server."""
+        """Return how many requests may be at the server at once."""
         return max(1, min(most, int(self._limit)))
 
+    def rate(self, most: int, service_time: float) -> float:
+        """Return how many requests the server may get in a millisecond."""
+        return self.current(most) * min(1.0, self._limit) / max(service_time, 1.0)
+
+    def pause(self, service_time: float) -> int:
+        """Return for how many milliseconds the server gets nothing after an answer."""
+        if self._limit >= 1:
+            return 0
+        return min(PAUSE_MAX, int(service_time * (1 / self._limit - 1)))
+
     def note_answer(self, load: ReportedLoad | None, most: int) -> None:
         """Take in an answer with the load that the server reported."""
         if load is None or load.waiting * 2 < load.slots:
-            self._limit += RAISE_STEP
+            self._limit += min(self._limit, RAISE_STEP)
         elif load.waiting > load.slots:
-            self._limit -= LOWER_STEP
-        self._limit = max(1.0, min(float(most), self._limit))
+            self._limit -= LOWER_STEP * min(1.0, self._limit)
+        self._limit = max(LEAST_LIMIT, min(float(most), self._limit))
 
     def note_shed(self) -> None:
         """Take in that the server had no room."""
-        self._limit = max(1.0, self._limit * SHED_FACTOR)
+        self._limit = max(LEAST_LIMIT, self._limit * SHED_FACTOR)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,6 +111,8 @@
         self._waiting: list[tuple[Claim, asyncio.Future[None]]] = []
         self._taken = 0
         self._most = 1
+        self._opens_at = 0
+        self._opening: asyncio.TimerHandle | None = None
         self.limit = ConcurrencyLimit()
 
     @property
@@ -107,13 +125,6 @@
         """How many requests wait for a place."""
         return len(self._waiting)
 
-    def expected_wait(self, service_time: float) -> float:
-        """Return how long one more request of the same rank would wait."""
-        places = self.limit.current(self._most)
-        if self._taken < places and not self._waiting:
-            return 0.0
-        return (len(self._waiting) + 1) * service_time / places
-
     async def enter(self, claim: Claim, most: int, service_time: float) -> None:
         """Take a place, waiting for one if need be; raise Refusal when it would be too late.
 
@@ -121,20 +132,28 @@
         """
         self._most = most
         now = self._clock.now()
-        if self._taken < self.limit.current(most) and not self._waiting:
+        if self._is_open(now) and not self._waiting:
             self._taken += 1
             return
         ahead = sum(1 for other, _ in self._waiting if other.priority <= claim.priority)
-        wait = (ahead + 1) * service_time / self.limit.current(most)
+        wait = (ahead + 1) / self.limit.rate(most, service_time)
         if not can_be_served(claim, now, wait, service_time):
             raise Refusal(Reason.OVERLOADED, retry_after=int(wait))
+        self._open_later(service_time)
         await self._wait(claim, service_time)
 
     def leave(self, service_time: float) -> None:
         """Give a place back, and let in those that wait."""
         self._taken -= 1
+        self._opens_at = self._clock.now() + self.limit.pause(service_time)
+        self._admit(service_time)
+
+    def _is_open(self, now: int) -> bool:
+        return self._taken < self.limit.current(self._most) and now >= self._opens_at
+
+    def _admit(self, service_time: float) -> None:
         now = self._clock.now()
-        while self._waiting and self._taken < self.limit.current(self._most):
+        while self._waiting and self._is_open(now):
             claims = [claim for claim, _ in self._waiting]
             claim, place = self._waiting.pop(next_claim(claims, now, int(service_time)))
             if place.done():
@@ -144,6 +163,18 @@
                 continue
             self._taken += 1
             place.set_result(None)
+        if self._waiting:
+            self._open_later(service_time)
+
+    def _open_later(self, service_time: float) -> None:
+        """Let the next one in at the end of a pause; without one a place is given back first."""
+        left = self._opens_at - self._clock.now()
+        if self._opening is not None:
+            self._opening.cancel()
+            self._opening = None
+        if left > 0:
+            loop = asyncio.get_running_loop()
+            self._opening = loop.call_later(left / 1_000, self._admit, service_time)
 
     async def _wait(self, claim: Claim, service_time: float) -> None:
         place = asyncio.get_running_loop().create_future()
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -170,6 +170,71 @@
         assert sorted(served)[len(served) * 9 // 10] < 0.3
 
 
+class HotServer:
+    """Four slots and sixteen places to wait; what comes beyond is refused."""
+
+    SLOTS, QUEUE, WORK_MS = 4, 16, 20
+
+    def __init__(self) -> None:
+        self._slots = asyncio.Semaphore(self.SLOTS)
+        self._present = 0
+        self.served = 0
+        self.shed = 0
+
+    async def run(self) -> ReportedLoad | None:
+        """Return the load that the answer reports, None for a request without a place."""
+        if self._present >= self.SLOTS + self.QUEUE:
+            self.shed += 1
+            return None
+        self._present += 1
+        async with self._slots:
+            await asyncio.sleep(self.WORK_MS / 1_000)
+        self._present -= 1
+        self.served += 1
+        return ReportedLoad(self.SLOTS, max(0, self._present - self.SLOTS), self.SLOTS)
+
+
+class TestManyDaemons:
+    """More daemons than a server has places, and one key that many ask for."""
+
+    async def _press(self, daemons: int, per_second: int, duration: float) -> HotServer:
+        server, rng = HotServer(), random.Random(11)
+        gates = [ServerGate(SystemClock()) for _ in range(daemons)]
+
+        async def request() -> None:
+            gate = rng.choice(gates)
+            try:
+                await gate.enter(_claim(150, 600), 6, server.WORK_MS)
+            except Refusal:
+                return
+            load = await server.run()
+            if load is None:
+                gate.limit.note_shed()
+            else:
+                gate.limit.note_answer(load, 6)
+            gate.leave(server.WORK_MS)
+
+        tasks = []
+        for index in range(int(per_second * duration)):
+            if index == per_second:
+                # Until then the daemons learn of each other's requests.
+                server.served = server.shed = 0
+            tasks.append(asyncio.create_task(request()))
+            await asyncio.sleep(1 / per_second)
+        await asyncio.gather(*tasks)
+        return server
+
+    async def test_daemons_take_turns_at_a_hot_server(self):
+        """66 daemons bring three times what one server can do."""
+        server = await self._press(66, 600, 3.0)
+        assert server.served >= 0.6 * 2.0 * 1_000 / server.WORK_MS * server.SLOTS
+        assert server.shed <= 0.1 * server.served
+
+    async def test_server_with_room_keeps_no_daemon_waiting(self):
+        server = await self._press(66, 100, 1.0)
+        assert server.served == 100
+
+
 def _claim(on_time: int, deadline: int = 1_200, rank: int = 1) -> Claim:
     now = SystemClock().now()
     return Claim(rank, now + on_time, now + deadline)
