Share keys out before there are requests, and move more at once in large services

Cause: the first assignment waits 1.5 s for servers to list themselves. No plan moved anything before the first request, since no range had the 0.7 requests/s that a move needs, so that traffic met two servers: 1,512 of 1,585 tries at one of them in the first two seconds were refused.

Change: a move needs 0.7 requests/s or a quarter of a server's mean share, whichever is less; a plan may hold a move for each eight servers where that is more than four.

Both new tests fail before.

A key that needs more than a server can do is what is left of the first seconds.

--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -15,10 +15,15 @@
 OVERLOAD_RATIO = 1.25
 # A server with less than this part of its share gets keys also when none is overloaded.
 UNDERLOAD_RATIO = 0.5
-# Voluntary moves in one plan; each makes its keys wait for the running requests.
+# Voluntary moves in one plan, at least and for each server; each makes its keys wait for the
+# running requests.
 MOVES_MAX = 4
+MOVES_PER_SERVER = 0.125
 # Moves of less than this rate are not worth the wait, in requests a second.
 RATE_WORTH_MOVING = 0.7
+# The same as part of a server's share, where that is less: before there are requests, and for
+# services with few of them.
+SHARE_WORTH_MOVING = 0.25
 # A key goes to a server alone when it has at least this rate, in requests a second: some fifteen
 # requests within the memory of rates, so that no chance makes a key hot.
 HOT_RATE_MIN = 6.0
@@ -96,6 +101,8 @@
         ]
         self._share_rate = _fair_rate(self._rates.total, hot, situation.capacities.values())
         self._taken = self._owners_of_hot(hot)
+        mean_share = self._rates.total / max(len(self._loads), 1)
+        self._worth_moving = min(RATE_WORTH_MOVING, mean_share * SHARE_WORTH_MOVING)
 
     def place_forced(self) -> list[PlannedMove]:
         """Place the ranges whose owners may own nothing, or whose successor is lost."""
@@ -111,7 +118,8 @@
         """Move keys from the busiest servers to the idlest ones."""
         moves: list[PlannedMove] = []
         donors = set(self._loads)
-        while len(moves) < MOVES_MAX and donors and len(self._loads) > 1:
+        most = max(MOVES_MAX, int(len(self._loads) * MOVES_PER_SERVER))
+        while len(moves) < most and donors and len(self._loads) > 1:
             donor = max(donors, key=self._fullness)
             receiver = min(self._loads, key=self._fullness)
             wanted = self._fullness(donor) >= OVERLOAD_RATIO
@@ -183,12 +191,12 @@
         excess = self._loads[donor] - self._share(donor)
         room = self._share(receiver) - self._loads[receiver]
         wanted = min(max(excess, room / 2), room)
-        if wanted < RATE_WORTH_MOVING:
+        if wanted < self._worth_moving:
             return None
         for item in self._movable(donor):
             for move in self._pieces(item, wanted, receiver):
                 rate = self._rates.between(move.first, move.last)
-                if RATE_WORTH_MOVING <= rate <= excess + wanted:
+                if self._worth_moving <= rate <= excess + wanted:
                     return self._move(donor, move)
         return None
 
@@ -223,7 +231,7 @@
 
     def _cut_from(self, item: OwnedRange, rate: float, receiver: ServerLife) -> PlannedMove:
         rest = self._rates.between(item.first, item.last) - rate
-        if rest <= RATE_WORTH_MOVING:
+        if rest <= self._worth_moving:
             return PlannedMove(item.first, item.last, receiver)
         neighbour = self._situation.ownership.find(item.last + 1)
         if neighbour is not None and (neighbour.successor or neighbour.owner) == receiver:
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -235,6 +235,17 @@
         situation = Situation(divide_evenly(LIVES[:3], 1), dict.fromkeys(LIVES, 4.0), rates)
         assert any(move.successor == LIVES[3] for move in BalancedPlanner().plan(situation))
 
+    def test_servers_that_list_themselves_late_get_their_share_before_any_request(self):
+        """A service was assigned to the two servers that were listed, and twelve came after."""
+        rates = _rates({})
+        settled = _carry_out(divide_evenly(LIVES[:1], 1), rates)
+        assert max(_shares(settled, rates).values()) <= 0.25 * 1.25
+
+    def test_large_services_move_more_at_once(self):
+        lives = tuple(ServerLife(f"m{index}", 1) for index in range(64))
+        situation = Situation(divide_evenly(lives[:8], 1), dict.fromkeys(lives, 4.0), _rates({}))
+        assert len(BalancedPlanner().plan(situation)) >= 8
+
     def test_without_servers_nothing_moves(self):
         assert BalancedPlanner().plan(Situation(divide_evenly(LIVES, 1), {}, _rates({}))) == ()
 
