Add a soak of real gateway daemons under random faults

The stand-ins of the users' platform ran only inside one process, so that nothing paused, killed or stopped a real daemon.

Change: python -m fuchsiatrack_standins.soak (make soak). Daemons are processes with addresses of their own; store and servers are the stand-ins, behind loopback proxies that delay, silence or reset; callers keep their connections. Faults overlap and come in series: store busy, silent, losing answers; links; servers that leave and restart; daemons paused, killed, stopped, reloaded; storms of versions. Checked: an order runs once, what is refused never ran, answers are whole and one's own, one owner of a key, nothing cut at a stop, answers in time, all served within 15 s of the last fault.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SETUP := $(VENV)/.installed
 
-.PHONY: setup demo playground test lint matrix bench slopes outages
+.PHONY: setup demo playground test lint matrix bench slopes outages soak
 
 setup: $(SETUP)
 
@@ -39,3 +39,6 @@
 
 outages: setup
 	$(BIN)/python tests/outages.py
+
+soak: setup
+	$(BIN)/python -m fuchsiatrack_standins.soak --seeds=$(or $(SEEDS),1-50)
--- /dev/null
+++ b/src/fuchsiatrack_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: real daemons as processes, faults from outside them, and the promises checked."""
