--- a/tests/test_streamfollower.py
+++ b/tests/test_streamfollower.py
@@ -13,7 +13,9 @@
     Stream,
     StreamFollower,
 )
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerLife
 from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.kernel.errors import PlatformUnavailable
 
 
 class FakeLog(KeyedLog):
@@ -23,6 +25,7 @@
         self.records: list[KeyedRecord] = []
         self.reads = 0
         self.is_deaf = False
+        self.is_down = False
         self._grown = asyncio.Condition()
 
     async def newest(self, stream: Stream) -> KeyedPage:
@@ -30,6 +33,8 @@
 
     async def read(self, stream: Stream, first: int, wait: int) -> KeyedPage:
         self.reads += 1
+        if self.is_down:
+            raise PlatformUnavailable("down")
         if self.is_deaf and wait:
             await asyncio.sleep(wait / 1_000)
         if wait:
@@ -94,3 +99,34 @@
         follower.hear(1)
         await asyncio.sleep(0.4)
         assert seen == ["s0"]
+
+
+class TestDirectoryAfterAnOutage:
+    """Entries that lapsed in an outage are kept for a while, others are not."""
+
+    async def test_server_that_leaves_after_an_outage_is_gone_in_time(self):
+        """Leaving servers get nothing 2,000 ms after the store has taken their word."""
+        log, clock = FakeLog(), SystemClock()
+        directory = ServerDirectory(clock)
+        entry = ServerEntry(ServerLife("s0", 1), "lab", "127.0.0.1:1", "a", 4, False, False)
+        directory.put(entry)
+        follower = StreamFollower(
+            log,
+            Stream("servers"),
+            clock,
+            lambda records, away: None,
+            lambda record, away: directory.remove(record.key, away),
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.05)
+        log.is_down = True
+        follower.hurry()
+        await asyncio.sleep(0.05)
+        log.is_down = False
+        await asyncio.sleep(1.2)
+        assert not follower.is_failing
+        await log.append(Stream("servers"), [("s0", b"")])
+        await asyncio.sleep(1.9)
+        directory.expire()
+        task.cancel()
+        assert not directory.entries
