--- a/src/fuchsiatrack_standins/soak/faults.py
+++ b/src/fuchsiatrack_standins/soak/faults.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from fuchsiatrack_standins.fleet.instance import InstanceStandIn
 from fuchsiatrack_standins.fleet.store import Mode
 from fuchsiatrack_standins.soak.daemons import GRACE_S, DaemonProcess, State
 from fuchsiatrack_standins.soak.links import LinkMode
@@ -154,7 +155,7 @@
         daemon.state = state
         return daemon
 
-    def _take_server(self):
+    def _take_server(self) -> InstanceStandIn | None:
         free = [server for name, server in self._scene.servers.items() if name not in self._busy]
         if not free:
             return None
--- a/src/fuchsiatrack_standins/soak/scene.py
+++ b/src/fuchsiatrack_standins/soak/scene.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import pathlib
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 
 from fuchsiatrack_standins.fleet.instance import InstanceStandIn
 from fuchsiatrack_standins.fleet.store import StoreStandIn
@@ -122,7 +122,7 @@
             daemon.state = State.WELL
         return []
 
-    async def _unserved(self) -> Iterator[str]:
+    async def _unserved(self) -> AsyncIterator[str]:
         for daemon in self.daemons:
             if not await daemon.is_ready(self.callers.session):
                 yield f"{daemon.vm} is not ready"
