Give each soak loopback addresses of its own

The daemon's log: "error while attempting to bind on address ('127.0.1.1', 9464): address already in use". The port of the metrics is fixed, and both used the same addresses.

Change: the addresses follow from the process id.

--- a/src/fuchsiatrack_standins/soak/daemons.py
+++ b/src/fuchsiatrack_standins/soak/daemons.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import os
 import pathlib
 import signal
 import socket
@@ -46,7 +47,8 @@
 
     def __init__(self, index: int, store: str, directory: pathlib.Path) -> None:
         self.vm = f"entry-{index}"
-        self.host = f"127.0.1.{index}"
+        # Soaks that run at once must not meet, as the port of the metrics is the same everywhere.
+        self.host = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}.{index}"
         self._directory = directory
         self._process: asyncio.subprocess.Process | None = None
         self._ports = {name: _free_port(self.host) for name in ("callers", "readiness", "reports")}
