--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -378,6 +378,22 @@
         await stop
         assert asyncio.get_running_loop().time() - started < 4.0
 
+    async def test_control_that_failed_is_not_started_again(self, fleet: Fleet, monkeypatch):
+        """The term is given up, and what its last word says of its grants must stay true."""
+        ranges = fleet.daemons["entry-1"]._ranges
+        await _wait_for(lambda: ranges._controllers, 3.0)
+        fleet.store.mode = Mode.SILENT
+        [controller] = ranges._controllers.values()
+
+        def fail() -> None:
+            raise RuntimeError("control failed")
+
+        monkeypatch.setattr(controller, "_is_due_to_plan", fail)
+        await asyncio.sleep(0.5)
+        started_again = bool(ranges._controllers)
+        fleet.store.mode = Mode.SERVING
+        assert not started_again
+
     async def test_leader_without_a_store_grants_for_long_before_it_ends(self, fleet: Fleet):
         """Nobody can take over, so the servers have to last until the store is back."""
         await _wait_for(fleet.daemons["entry-1"]._ranges.leadership.may_act, 3.0)
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -611,6 +611,22 @@
         assert renewed == {"s0:1", "s2:1", "s3:1"}
         holding.set()
 
+    async def test_long_grants_do_not_wait_for_a_save(self, parts, monkeypatch):
+        """A store that answers nothing holds up a save and puts the lease at risk at once."""
+        granter, leadership, directory, saved = parts
+        await _wait_for(lambda: all(granter.holders(key) for key in range(0, LAST_KEY, 999)))
+        saved.gate = asyncio.Event()
+        directory.put(dataclasses.replace(_entry(LIVES[1]), leaving=True))
+        await _wait_for(lambda: saved.is_waiting)
+        monkeypatch.setattr(renewals, "GRANT_HOLD", 8_000)
+        await asyncio.sleep(0.5)
+        before = len(granter.log)
+        leadership.is_lease_at_risk = True
+        await asyncio.sleep(0.4)
+        long = {entry[1] for entry in granter.log[before:] if entry[0] == "grant"}
+        saved.gate.set()
+        assert long == {"s0:1", "s2:1", "s3:1"}
+
     async def test_nothing_is_ordered_after_the_term(self, parts):
         granter, leadership, _, _ = parts
         await _wait_for(lambda: granter.holders(0))
