Log the state of a server's entry at each send, and the length of log outages

Callers' requests reached servers that had left, and the logs could not tell why: whether the entry was kept after an outage, was known to be draining, or the daemon had not read the record. 'request finished' now has the entry's state, for how long it was draining or expired, and the time from arrival to send; 'server gone' has how long the entry was kept; 'log available again' has the outage's length; a poll that missed records is reported. Metrics count sends and entries by state.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -143,8 +143,10 @@
         self._pause = pause
         self._failed_at: int | None = None
         self._is_failing = False
+        self._outage_started_at = 0
         self._poll: asyncio.Task[CompactedPage] | None = None
         self._poll_wait = 0
+        self._poll_started_at = 0
         self._poll_requested = asyncio.Event()
         self._has_peers = False
         self.next = 0
@@ -194,6 +196,12 @@
 
     def _check_poll(self, poll: asyncio.Task[CompactedPage], peer_offset: int) -> None:
         if self._poll is poll and peer_offset > self.next:
+            fields = {
+                "topic": self._stream.topic,
+                "behind": peer_offset - self.next,
+                "poll_ms": self._clock.now() - self._poll_started_at,
+            }
+            log.info("replacing a poll that missed records", extra=fields)
             self.poll_now()
 
     def mark_isolated(self) -> None:
@@ -230,6 +238,7 @@
             wait = 0
         self._poll_requested.clear()
         self._poll_wait = wait
+        self._poll_started_at = self._clock.now()
         self._poll = asyncio.ensure_future(self._log.read(self._stream, self.next, wait))
         try:
             return await self._poll
@@ -256,13 +265,19 @@
         self._failed_at = self._clock.now()
         if not self._is_failing:
             self._is_failing = True
+            self._outage_started_at = self._failed_at
             log.warning("log unavailable", extra={"topic": self._stream.topic, "why": str(error)})
 
     def _record_success(self) -> None:
         self.read_at = self._clock.now()
         if self._is_failing:
             self._is_failing = False
-            log.warning("log available again", extra={"topic": self._stream.topic})
+            fields = {
+                "topic": self._stream.topic,
+                "outage_ms": self.read_at - self._outage_started_at,
+                "last_failure_ms": self.read_at - self._failed_at,
+            }
+            log.warning("log available again", extra=fields)
 
 
 def _is_cancelled() -> bool:
--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import enum
 import logging
 from collections.abc import Iterable, Mapping
 
@@ -47,6 +49,18 @@
         return self.incarnation.server
 
 
+class EntryState(enum.Enum):
+    """What the directory knows of a server; the values are written to logs and metrics.
+
+    An EXPIRED entry is missing from the log service since an outage, but still in use.
+    """
+
+    READY = "ready"
+    DRAINING = "draining"
+    EXPIRED = "expired"
+    GONE = "gone"
+
+
 class ServerDirectory:
     """The listed backend servers.
 
@@ -59,6 +73,7 @@
         self._entries: dict[str, ServerEntry] = {}
         self._by_service: dict[str, tuple[ServerEntry, ...]] = {}
         self._drop_times: dict[str, int] = {}
+        self._expired_since: dict[str, int] = {}
         self._draining_since: dict[str, int] = {}
         self._address_conflicts: dict[ServerIncarnation, str] = {}
         self._former_entries: dict[ServerIncarnation, ServerEntry] = {}
@@ -114,6 +129,24 @@
         since = self._draining_since.get(server)
         return 0 if since is None else self._clock.now() - since
 
+    def state_of(self, entry: ServerEntry) -> EntryState:
+        """Return the state of *entry*; GONE if the server has another incarnation or none."""
+        current = self._entries.get(entry.id)
+        if current is None or current.incarnation != entry.incarnation:
+            return EntryState.GONE
+        if entry.id in self._expired_since:
+            return EntryState.EXPIRED
+        return EntryState.DRAINING if current.draining else EntryState.READY
+
+    def unavailable_for(self, server: str) -> int:
+        """Return for how many milliseconds *server* has been draining or expired, 0 if neither."""
+        since = (self._draining_since.get(server), self._expired_since.get(server))
+        return max((self._clock.now() - start for start in since if start is not None), default=0)
+
+    def count_states(self) -> Mapping[EntryState, int]:
+        """Return the number of entries in each state."""
+        return collections.Counter(map(self.state_of, self._entries.values()))
+
     def last_known(self, incarnation: ServerIncarnation) -> ServerEntry | None:
         """Return the last entry of *incarnation*, which is no longer listed, or None."""
         return self._former_entries.get(incarnation)
@@ -121,6 +154,7 @@
     def put(self, entry: ServerEntry) -> None:
         """Add or update the entry of a server."""
         self._drop_times.pop(entry.id, None)
+        self._expired_since.pop(entry.id, None)
         old = self._entries.get(entry.id)
         if old == entry:
             return
@@ -142,7 +176,9 @@
         if server not in self._entries:
             return
         if after_outage:
-            self._drop_times.setdefault(server, self._clock.now() + RELIST_TIMEOUT_MS)
+            now = self._clock.now()
+            self._expired_since.setdefault(server, now)
+            self._drop_times.setdefault(server, now + RELIST_TIMEOUT_MS)
             log.info("server entry expired during a log outage", extra={"server": server})
             return
         self._drop(server)
@@ -162,13 +198,16 @@
             self._drop(server)
 
     def _drop(self, server: str) -> None:
+        unavailable_for = self.unavailable_for(server)
         self._drop_times.pop(server, None)
+        self._expired_since.pop(server, None)
         self._draining_since.pop(server, None)
         entry = self._entries.pop(server)
         self._address_conflicts.pop(entry.incarnation, None)
         self._keep_former(entry)
         self._update_service_index({entry.service})
-        log.info("server gone", extra={"server": server, "service": entry.service})
+        fields = {"server": server, "service": entry.service, "unavailable_ms": unavailable_for}
+        log.info("server gone", extra=fields)
         self.changed.on_next(server)
 
     def _keep_former(self, entry: ServerEntry) -> None:
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from fuchsiatrack.control.compactedlog import StreamConsumer
-from fuchsiatrack.directory.servers import ServerDirectory
+from fuchsiatrack.directory.servers import EntryState, ServerDirectory
 from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.gateway.admission import AdmissionQueues
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
@@ -195,6 +195,7 @@
             stats=self._stats,
             queues=self._queues,
             directory=self._directory,
+            metrics=self._metrics,
             table=lambda: self._configuration.current,
             is_ready=lambda: self.is_ready,
             find_selector=self._find_selector,
@@ -256,11 +257,14 @@
     def _read_gauges(self) -> dict[str, float]:
         table = self._configuration.current
         at_servers, waiting = self._queues.totals()
+        states = self._directory.count_states()
         return {
             "requests_at_servers": at_servers,
             "requests_waiting": waiting,
             "configuration_version": table.version if table else 0,
             "servers_listed": len(self._directory.entries),
+            "servers_draining": states.get(EntryState.DRAINING, 0),
+            "servers_expired": states.get(EntryState.EXPIRED, 0),
             "callers_connected": self._listener.connection_count,
             "requests_in_flight": self._listener.in_flight,
             "server_connections_opened": self._connections.opened_count,
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from fuchsiatrack.gateway.serverselection import SelectionRequest, ServerSelector
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
@@ -67,6 +68,7 @@
     stats: ServerStatsRegistry
     queues: AdmissionQueues
     directory: ServerDirectory
+    metrics: Metrics
     table: Callable[[], RouteTable | None]
     is_ready: Callable[[], bool]
     find_selector: Callable[[RoutedService], ServerSelector]
@@ -79,13 +81,20 @@
 
 @dataclasses.dataclass
 class Outcome:
-    """Result of a request, for logs and metrics; `elapsed` is in milliseconds."""
+    """Result of a request, for logs and metrics; times are in milliseconds.
+
+    `server_state` is the state of the server's entry at the latest send, `unavailable_for` how long
+    it had been draining or expired then, and `sent_after` the time since the request arrived.
+    """
 
     request_id: str = ""
     route: str = ""
     service: str = ""
     server: str = ""
     sends: int = 0
+    server_state: str = ""
+    unavailable_for: int = 0
+    sent_after: int = 0
     status: int = 0
     reason: str = ""
     verdict: str = ""
@@ -276,7 +285,7 @@
                 entry.id, entry.address, connection_share - queue.in_flight
             )
             connection = await dependencies.connections.acquire(entry.id, entry.address, max_idle)
-            self.outcome.sends += 1
+            self._record_send(entry)
             self._tried_servers.add(entry.id)
             response = await self._send_request(connection, entry)
             dependencies.connections.release(entry.id, entry.address, connection)
@@ -292,6 +301,15 @@
             response, entry, route, request_metadata, self._clock.now() - started_at
         )
 
+    def _record_send(self, entry: ServerEntry) -> None:
+        directory, outcome = self._dependencies.directory, self.outcome
+        state = directory.state_of(entry).value
+        outcome.sends += 1
+        outcome.server_state = state
+        outcome.unavailable_for = directory.unavailable_for(entry.id)
+        outcome.sent_after = self._clock.now() - self._started_at
+        self._dependencies.metrics.count(f"sends.to.{state}")
+
     async def _send_request(
         self, connection: ServerConnection, entry: ServerEntry
     ) -> ServerResponse:
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import io
 import json
 import logging
@@ -24,7 +25,7 @@
     ServiceTimeStats,
     TermEndNotice,
 )
-from tests.fleet import run_fleet
+from tests.fleet import route, run_fleet
 
 
 class ManualClock(Clock):
@@ -168,3 +169,25 @@
             await fleet.call("/reads/", request_id="lost-one")
         [line] = [item for item in caplog.records if getattr(item, "request_id", "") == "lost-one"]
         assert (line.reason, line.verdict, line.status) == ("not-ready", "not-run", 503)
+
+    async def test_request_logs_the_state_of_its_server(self, caplog):
+        """docs/OPERATIONS.md finds the cause of a send to a server that left by these fields."""
+        caplog.set_level(logging.INFO)
+        async with run_fleet() as fleet:
+            server = await fleet.add_server("stock-0", "stock", keyed=True)
+            fleet.publish(1, [route("keyed", "/keyed/", "safe", "stock")], ("stock",))
+            daemon = await fleet.add_daemon("entry-1")
+            await fleet.wait_ready()
+            await fleet.call("/keyed/", key=7, request_id="to-ready")
+            server.announce("draining")
+            while not daemon._directory.draining_for("stock-0"):
+                await asyncio.sleep(0.01)
+            await fleet.call("/keyed/", key=7, request_id="to-draining")
+            metrics = daemon._metrics.render()
+        lines = {getattr(item, "request_id", ""): item for item in caplog.records}
+        assert (lines["to-ready"].server_state, lines["to-ready"].unavailable_ms) == ("ready", 0)
+        line = lines["to-draining"]
+        assert line.server_state == "draining"
+        assert line.unavailable_ms > 0
+        assert line.sent_after_ms >= 0
+        assert "fuchsiatrack_sends_to_draining 1" in metrics
