--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -330,6 +330,24 @@
             assert (await fleet.call("/orders/", method="POST"))[0] == 200
         assert replacement.misrouted <= 1
 
+    async def test_server_that_leaves_while_its_connection_opens_gets_no_request(
+        self, fleet: Fleet, monkeypatch
+    ):
+        daemon = fleet.daemons["entry-1"]
+        acquire = daemon._connections.acquire
+
+        async def acquire_slowly(server: str, address: str, max_idle: int):
+            connection = await acquire(server, address, max_idle)
+            if server == "booking-0":
+                fleet.servers["booking-0"].withdraw()
+                await _wait_for(lambda: "booking-0" not in _listed(fleet))
+            return connection
+
+        monkeypatch.setattr(daemon._connections, "acquire", acquire_slowly)
+        statuses = [(await fleet.call("/orders/", method="POST"))[0] for _ in range(4)]
+        assert statuses == [200] * 4
+        assert not fleet.servers["booking-0"].runs
+
     async def test_entries_that_expire_in_an_outage_are_kept_for_a_while(self, fleet: Fleet):
         fleet.log_service.mode = LogServiceMode.BUSY
         for consumer in fleet.daemons["entry-1"]._consumers.values():
