Bound how long a server that left during an outage gets requests

Cause: an entry that is missing after an outage is kept, as running servers need about 2 s to register again. That wait began when each daemon noticed that the entry was missing, and ended with a job that runs once a second. Noticing took up to 1.9 s while a read hung (1.5 s until its timeout, 0.4 s pause), and a removal up to 2.5 s after the outage started a wait of its own. Each delay had a bound, their sum had none, and it exceeded Contact (3 s).

Why it works: the wait has one deadline for the outage, counted from the start of the last read that failed, after which the log service was unavailable at some time, so that detection can't add to it. Reads without a response are attempted again every 300 ms on a new connection, which leaves the whole 2.2 s for servers that register again. Entries are checked against their deadline at each send, not once a second.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -8,9 +8,11 @@
 import abc
 import asyncio
 import dataclasses
+import functools
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
+from fuchsiatrack.control.hedgedcall import HedgedCall
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import FuchsiatrackError, PlatformUnavailable, RecordsExpired
 
@@ -19,14 +21,9 @@
 # Wait of a long poll otherwise: short enough that a poll which the service has lost, and which
 # receives nothing, ends before the delay does harm.
 ISOLATED_POLL_WAIT_MS = 2_200
-# Pause after a failed read.
-RETRY_PAUSE_MS = 400
 # An open poll counts as lost if a peer's records have not arrived this long after the peer reported
 # them.  This is the longest response time of a healthy log service.
 LOST_POLL_TIMEOUT_MS = 250
-# Snapshots and records read within this time of a failed read may lack live servers, which need
-# about 2 s to register again after an outage.
-OUTAGE_RECOVERY_MS = 2_500
 
 log = logging.getLogger(__name__)
 
@@ -58,10 +55,43 @@
 
 @dataclasses.dataclass(frozen=True)
 class CompactedPage:
-    """Records, and the offset `next` at which the next read starts."""
+    """Records, the offset `next` at which the next read starts, and the stream's `end`, if known.
+
+    `end` is the offset after the stream's last record at the time of the read.
+    """
 
     records: tuple[CompactedRecord, ...]
     next: int
+    end: int = 0
+
+    @property
+    def is_last(self) -> bool:
+        """Whether no further records are known to follow."""
+        return self.next >= self.end
+
+
+@dataclasses.dataclass(frozen=True)
+class Outage:
+    """An interruption of the reads of a stream; times of the reader's clock, in milliseconds.
+
+    `failed_at` is when the last read started that got no response, so the log service was
+    unavailable to this reader at some time after it.  `ended_at` is when the next read returned.
+    """
+
+    failed_at: int
+    ended_at: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadContext:
+    """Under which circumstances records were read.
+
+    `outage` is the latest interruption, None if there was none.  With `is_backlog`, the records
+    may have been appended before it ended.
+    """
+
+    outage: Outage | None = None
+    is_backlog: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,18 +110,23 @@
     """
 
     @abc.abstractmethod
-    async def newest(self, stream: Stream) -> CompactedPage:
+    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
         """Return the newest record of each key.
 
+        With *new_connection*, use no connection that is already open, since such a connection may
+        be dead without notice.
+
         `next` is the end of the stream when the listing began; records appended later may be among
         those returned.
         """
 
     @abc.abstractmethod
-    async def read(self, stream: Stream, first: int, wait: int) -> CompactedPage:
+    async def read(
+        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+    ) -> CompactedPage:
         """Return records from offset *first* on, waiting up to *wait* milliseconds for one.
 
-        Raise RecordsExpired if *first* is no longer retained.
+        See `newest` for *new_connection*.  Raise RecordsExpired if *first* is no longer retained.
         """
 
     @abc.abstractmethod
@@ -121,9 +156,9 @@
     """Reads one stream continuously; a single task executes `run`.
 
     *on_snapshot* receives the newest record of each key, once at the start and again whenever
-    records were missed; *on_record* receives each later record.  Both also receive whether the
-    log service was unavailable shortly before.  After a page with records, the next read starts
-    *pause* milliseconds later, so that records which are appended together take one call.
+    records were missed; *on_record* receives each later record.  Both also receive the context of
+    the read.  After a page that ends the stream, the next read starts *pause* milliseconds later,
+    so that records which are appended together take one call.
     """
 
     def __init__(
@@ -131,8 +166,8 @@
         log_service: CompactedLog,
         stream: Stream,
         clock: Clock,
-        on_snapshot: Callable[[tuple[CompactedRecord, ...], bool], None],
-        on_record: Callable[[CompactedRecord, bool], None],
+        on_snapshot: Callable[[tuple[CompactedRecord, ...], ReadContext], None],
+        on_record: Callable[[CompactedRecord, ReadContext], None],
         pause: int = 0,
     ) -> None:
         self._log = log_service
@@ -143,7 +178,9 @@
         self._pause = pause
         self._failed_at: int | None = None
         self._is_failing = False
+        self._outage: Outage | None = None
         self._outage_started_at = 0
+        self._is_backlog = False
         self._poll: asyncio.Task[CompactedPage] | None = None
         self._poll_wait = 0
         self._poll_started_at = 0
@@ -172,14 +209,12 @@
                 fields = {"topic": self._stream.topic, "next": self.next, "why": str(error)}
                 log.info("records expired", extra=fields)
                 needs_snapshot = True
-            except PlatformUnavailable as error:
-                self._record_failure(error)
-                await self._clock.sleep(RETRY_PAUSE_MS)
 
     async def _read_snapshot(self) -> None:
-        page = await self._log.newest(self._stream)
+        page = await self._call(self._attempt_snapshot)
         self._record_success()
-        self._on_snapshot(page.records, self._after_outage())
+        self._on_snapshot(page.records, self._context())
+        self._is_backlog = False
         self.next = page.next
         self.caught_up.set()
 
@@ -225,21 +260,23 @@
             return
         self._record_success()
         for record in page.records:
-            self._on_record(record, self._after_outage())
+            self._on_record(record, self._context())
         self.next = page.next
-        if page.records and self._pause:
-            await self._wait_for_poll_now()
+        if page.is_last:
+            self._is_backlog = False
+            if page.records and self._pause:
+                await self._wait_for_poll_now()
 
     async def _poll_once(self) -> CompactedPage | None:
         """Return the next page, or None if the poll was cancelled in favour of a new one."""
-        # Poll a failing service without a wait, so that its recovery is detected at once.
         wait = POLL_WAIT_MS if self._has_peers else ISOLATED_POLL_WAIT_MS
-        if self._is_failing or self._poll_requested.is_set():
+        if self._poll_requested.is_set():
             wait = 0
         self._poll_requested.clear()
         self._poll_wait = wait
         self._poll_started_at = self._clock.now()
-        self._poll = asyncio.ensure_future(self._log.read(self._stream, self.next, wait))
+        attempt = functools.partial(self._attempt_read, wait)
+        self._poll = asyncio.ensure_future(self._call(attempt, wait))
         try:
             return await self._poll
         except asyncio.CancelledError:
@@ -257,25 +294,46 @@
         except TimeoutError:
             return
 
-    def _after_outage(self) -> bool:
-        failed_at = self._failed_at
-        return failed_at is not None and self._clock.now() - failed_at < OUTAGE_RECOVERY_MS
+    async def _attempt_read(self, wait: int, is_first: bool, new_connection: bool) -> CompactedPage:
+        if not is_first:
+            # Without a wait, so that the recovery of a failing service is detected at once.
+            wait = self._poll_wait = 0
+        return await self._log.read(self._stream, self.next, wait, new_connection=new_connection)
+
+    async def _attempt_snapshot(self, is_first: bool, new_connection: bool) -> CompactedPage:
+        return await self._log.newest(self._stream, new_connection=new_connection)
+
+    async def _call(
+        self, attempt: Callable[[bool, bool], Awaitable[CompactedPage]], wait: int = 0
+    ) -> CompactedPage:
+        call = HedgedCall(attempt, self._clock, self._record_failure)
+        try:
+            return await call.run(wait)
+        finally:
+            if call.failed_at is not None:
+                self._failed_at = call.failed_at
+
+    def _context(self) -> ReadContext:
+        return ReadContext(self._outage, self._is_backlog)
 
-    def _record_failure(self, error: PlatformUnavailable) -> None:
-        self._failed_at = self._clock.now()
+    def _record_failure(self, error: PlatformUnavailable, started_at: int) -> None:
         if not self._is_failing:
             self._is_failing = True
-            self._outage_started_at = self._failed_at
+            self._outage_started_at = started_at
             log.warning("log unavailable", extra={"topic": self._stream.topic, "why": str(error)})
 
     def _record_success(self) -> None:
         self.read_at = self._clock.now()
+        if self._failed_at is not None:
+            self._outage = Outage(self._failed_at, self.read_at)
+            self._is_backlog = True
+            self._failed_at = None
         if self._is_failing:
             self._is_failing = False
             fields = {
                 "topic": self._stream.topic,
                 "outage_ms": self.read_at - self._outage_started_at,
-                "last_failure_ms": self.read_at - self._failed_at,
+                "last_failure_ms": self._outage.ended_at - self._outage.failed_at,
             }
             log.warning("log available again", extra=fields)
 
--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
 import enum
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from reactivex.subject import Subject
 
+from fuchsiatrack.control.compactedlog import ReadContext
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.kernel.clock import Clock
 
-# Running servers register again within about 2 s after the log service comes back.
-RELIST_TIMEOUT_MS = 2_200
+# How long a draining owner still gets requests for its keys: it serves for two seconds after it
+# announced that it drains, and moving its keys takes much less.
+DRAINING_SEND_TIME_MS = 1_500
 # Entries of unlisted servers are kept so that their key ranges can still be released.
 FORMER_ENTRIES_MAX = 200
 
@@ -61,20 +65,33 @@
     GONE = "gone"
 
 
+@dataclasses.dataclass(frozen=True)
+class _Departure:
+    """Since when a listed server has been known to leave, and until when it may get requests.
+
+    `state` is EXPIRED or DRAINING; times are in milliseconds.
+    """
+
+    state: EntryState
+    noticed_at: int
+    send_until: int
+
+
 class ServerDirectory:
     """The listed backend servers.
 
+    *budget* limits how long a server that leaves may get requests.  `run` drops expired entries.
     `changed` emits the id of each server whose entry was added, updated or removed, or whose
     address turned out to belong to another server.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, budget: DepartureBudget) -> None:
         self._clock = clock
+        self._budget = budget
         self._entries: dict[str, ServerEntry] = {}
         self._by_service: dict[str, tuple[ServerEntry, ...]] = {}
-        self._drop_times: dict[str, int] = {}
-        self._expired_since: dict[str, int] = {}
-        self._draining_since: dict[str, int] = {}
+        self._departures: dict[str, _Departure] = {}
+        self._expiry_scheduled = asyncio.Event()
         self._address_conflicts: dict[ServerIncarnation, str] = {}
         self._former_entries: dict[ServerIncarnation, ServerEntry] = {}
         self.changed: Subject[str] = Subject()
@@ -124,24 +141,27 @@
             for other in same_address
         )
 
-    def draining_for(self, server: str) -> int:
-        """Return for how many milliseconds *server* has been draining, 0 if it is not."""
-        since = self._draining_since.get(server)
-        return 0 if since is None else self._clock.now() - since
+    def accepts_requests(self, entry: ServerEntry) -> bool:
+        """Return whether a request may be sent to the incarnation in *entry* now."""
+        current = self._entries.get(entry.id)
+        if current is None or current.incarnation != entry.incarnation:
+            return False
+        departure = self._departures.get(entry.id)
+        in_time = departure is None or self._clock.now() < departure.send_until
+        return in_time and not self.has_address_conflict(current)
 
     def state_of(self, entry: ServerEntry) -> EntryState:
         """Return the state of *entry*; GONE if the server has another incarnation or none."""
         current = self._entries.get(entry.id)
         if current is None or current.incarnation != entry.incarnation:
             return EntryState.GONE
-        if entry.id in self._expired_since:
-            return EntryState.EXPIRED
-        return EntryState.DRAINING if current.draining else EntryState.READY
+        departure = self._departures.get(entry.id)
+        return departure.state if departure else EntryState.READY
 
     def unavailable_for(self, server: str) -> int:
         """Return for how many milliseconds *server* has been draining or expired, 0 if neither."""
-        since = (self._draining_since.get(server), self._expired_since.get(server))
-        return max((self._clock.now() - start for start in since if start is not None), default=0)
+        departure = self._departures.get(server)
+        return self._clock.now() - departure.noticed_at if departure else 0
 
     def count_states(self) -> Mapping[EntryState, int]:
         """Return the number of entries in each state."""
@@ -153,55 +173,86 @@
 
     def put(self, entry: ServerEntry) -> None:
         """Add or update the entry of a server."""
-        self._drop_times.pop(entry.id, None)
-        self._expired_since.pop(entry.id, None)
         old = self._entries.get(entry.id)
+        self._update_departure(entry, old)
         if old == entry:
             return
         self._entries[entry.id] = entry
-        if entry.draining:
-            self._draining_since.setdefault(entry.id, self._clock.now())
-        else:
-            self._draining_since.pop(entry.id, None)
         self._update_service_index({entry.service} | ({old.service} if old else set()))
         log.info("server listed", extra={**_log_fields(entry), "known_before": old is not None})
         self.changed.on_next(entry.id)
 
-    def remove(self, server: str, after_outage: bool) -> None:
+    def remove(self, server: str, context: ReadContext) -> None:
         """Remove the entry of *server*, which is no longer listed.
 
-        With *after_outage*, the entry expired during an outage of the log service. It is then
-        kept for `RELIST_TIMEOUT_MS`, since the server may still be running.
+        An entry that expired during an outage of the log service is kept for a while, since the
+        server may still be running.
         """
         if server not in self._entries:
             return
-        if after_outage:
-            now = self._clock.now()
-            self._expired_since.setdefault(server, now)
-            self._drop_times.setdefault(server, now + RELIST_TIMEOUT_MS)
-            log.info("server entry expired during a log outage", extra={"server": server})
+        now = self._clock.now()
+        send_until = self._budget.relist_deadline(context, now)
+        if send_until <= now:
+            self._drop(server)
             return
-        self._drop(server)
-
-    def replace(self, entries: Iterable[ServerEntry], after_outage: bool) -> None:
-        """Replace all entries by *entries*; see `remove` for *after_outage*."""
+        known = self._departures.get(server)
+        if known is not None and known.state is EntryState.EXPIRED:
+            return
+        if known is not None:
+            send_until = min(send_until, known.send_until)
+        self._departures[server] = _Departure(EntryState.EXPIRED, now, send_until)
+        self._expiry_scheduled.set()
+        fields = {"server": server, "kept_ms": send_until - now}
+        log.info("server entry expired during a log outage", extra=fields)
+
+    def replace(self, entries: Iterable[ServerEntry], context: ReadContext) -> None:
+        """Replace all entries by *entries*; see `remove` for those that are missing."""
         listed = {entry.id: entry for entry in entries}
         for server in self._entries.keys() - listed.keys():
-            self.remove(server, after_outage)
+            self.remove(server, context)
         for entry in listed.values():
             self.put(entry)
 
     def expire(self) -> None:
         """Drop the entries that expired during an outage and were not registered again in time."""
         now = self._clock.now()
-        for server in [name for name, drop_time in self._drop_times.items() if drop_time <= now]:
+        for server in [name for name, drop_at in self._drop_times() if drop_at <= now]:
             self._drop(server)
 
+    async def run(self) -> None:
+        """Drop each expired entry when its time has come, until cancelled."""
+        while True:
+            self._expiry_scheduled.clear()
+            drop_times = [drop_at for _, drop_at in self._drop_times()]
+            if not drop_times:
+                await self._expiry_scheduled.wait()
+                continue
+            await self._clock.sleep_until(min(drop_times))
+            self.expire()
+
+    def _drop_times(self) -> Iterator[tuple[str, int]]:
+        """Yield each expired server with the time when its entry is to be dropped."""
+        for server, departure in self._departures.items():
+            if departure.state is EntryState.EXPIRED:
+                yield server, departure.send_until
+
+    def _update_departure(self, entry: ServerEntry, old: ServerEntry | None) -> None:
+        """Record whether the listed server drains."""
+        if not entry.draining:
+            self._departures.pop(entry.id, None)
+            return
+        known = self._departures.get(entry.id)
+        is_same_run = old is not None and old.incarnation == entry.incarnation
+        if is_same_run and known is not None and known.state is EntryState.DRAINING:
+            return
+        now = self._clock.now()
+        self._departures[entry.id] = _Departure(
+            EntryState.DRAINING, now, now + DRAINING_SEND_TIME_MS
+        )
+
     def _drop(self, server: str) -> None:
         unavailable_for = self.unavailable_for(server)
-        self._drop_times.pop(server, None)
-        self._expired_since.pop(server, None)
-        self._draining_since.pop(server, None)
+        self._departures.pop(server, None)
         entry = self._entries.pop(server)
         self._address_conflicts.pop(entry.incarnation, None)
         self._keep_former(entry)
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from fuchsiatrack.control.compactedlog import StreamConsumer
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import EntryState, ServerDirectory
 from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.gateway.admission import AdmissionQueues
@@ -37,9 +38,6 @@
 # Longest wait for the next chunk of a request body.
 BODY_IDLE_TIMEOUT_MS = 10_000
 HOUSEKEEPING_INTERVAL_MS = 1_000
-# Delay of the next directory read after an entry arrived: servers often register together, and a
-# draining server keeps serving requests for at least four times this delay.
-DIRECTORY_READ_PAUSE_MS = 500
 
 log = logging.getLogger(__name__)
 
@@ -65,7 +63,8 @@
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._log = adapter.open_log(settings)
         self._configuration = ConfigurationHolder(adapter)
-        self._directory = ServerDirectory(self._clock)
+        self._departure_budget = DepartureBudget(settings.drain, settings.contact)
+        self._directory = ServerDirectory(self._clock, self._departure_budget)
         self._metrics = TextMetrics()
         self._consumers = self._create_consumers()
         self._range_service = RangeService(
@@ -114,7 +113,7 @@
         await self._range_service.start()
         log.info("daemon started", extra={"vm": settings.vm, "callers": str(settings.callers)})
         jobs = [*(item.run() for item in self._consumers.values()), *self._range_service.jobs()]
-        jobs.append(self._run_housekeeping())
+        jobs += [self._directory.run(), self._run_housekeeping()]
         self._tasks = [asyncio.create_task(self._supervise(job)) for job in jobs]
         await self._stop.wait()
         await self._shut_down()
@@ -173,7 +172,7 @@
                 self._clock,
                 updater.apply_snapshot,
                 updater.apply_record,
-                DIRECTORY_READ_PAUSE_MS,
+                self._departure_budget.read_pause,
             ),
         }
 
@@ -249,7 +248,6 @@
             await self._clock.sleep(HOUSEKEEPING_INTERVAL_MS)
             if _modification_time_ns(self._settings_path) != self._settings_mtime_ns:
                 self._reload()
-            self._directory.expire()
             listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
             self._connections.sweep(listed)
             self._queues.keep_only(frozenset(self._directory.entries))
--- a/src/fuchsiatrack/gateway/serverselection.py
+++ b/src/fuchsiatrack/gateway/serverselection.py
@@ -16,9 +16,6 @@
 # Longest wait for a key that is moving between owners: a move takes as long as the requests that
 # are still running at the old owner.
 OWNER_WAIT_MS = 600
-# How long a draining owner still gets requests for its keys: it serves for two seconds after it
-# announced that it drains, and moving its keys takes much less.
-MAX_DRAINING_MS = 1_500
 # Sent to callers while a key has no owner or a service has no server.
 UNAVAILABLE_RETRY_AFTER_MS = 300
 # Added to the expected time of a server in another failure domain for each KiB of request and
@@ -98,7 +95,7 @@
         return
 
     def _is_available(self, entry: ServerEntry) -> bool:
-        return not entry.draining and not self._directory.has_address_conflict(entry)
+        return not entry.draining and self._directory.accepts_requests(entry)
 
     def _cost(self, entry: ServerEntry, selection_request: SelectionRequest) -> float:
         stats = self._stats.get(entry.id, entry.slots)
@@ -167,9 +164,7 @@
         entry = self._directory.find(owned_range.owner.server)
         if entry is None or entry.incarnation != owned_range.owner or entry.service != service:
             return None
-        if self._directory.has_address_conflict(entry):
-            return None
-        return entry if self._directory.draining_for(entry.id) < MAX_DRAINING_MS else None
+        return entry if self._directory.accepts_requests(entry) else None
 
     async def _wait_for_change(self, timeout: int) -> None:
         self._changed.clear()
--- a/src/fuchsiatrack/gateway/settings.py
+++ b/src/fuchsiatrack/gateway/settings.py
@@ -24,6 +24,8 @@
 class GatewaySettings:
     """Settings of one daemon; times in milliseconds.
 
+    A server may get requests for `drain` after the log service acknowledged that it leaves; a
+    daemon has to keep that once its path to the log service has been undisturbed for `contact`.
     `max_hold` is the longest grant that backend servers accept.  For each service, all daemons
     together may send `retry_ratio` x requests + `retry_fixed` retries in any `retry_window`.  A
     graceful stop takes at most `stop_grace`.  `expected_daemons` is the number of daemons that
@@ -37,6 +39,8 @@
     reports: Endpoint
     log_service: Endpoint
     metrics_port: int
+    drain: int
+    contact: int
     max_hold: int
     stop_grace: int
     retry_ratio: float
--- a/src/fuchsiatrack/gateway/sources.py
+++ b/src/fuchsiatrack/gateway/sources.py
@@ -6,7 +6,7 @@
 
 from reactivex.subject import Subject
 
-from fuchsiatrack.control.compactedlog import CompactedRecord
+from fuchsiatrack.control.compactedlog import CompactedRecord, ReadContext
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
 from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.model.routes import RouteTable
@@ -30,12 +30,12 @@
         """The configuration in force, or None before the first one."""
         return self._current
 
-    def apply_snapshot(self, records: tuple[CompactedRecord, ...], after_outage: bool) -> None:
+    def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
         """Apply the newest records of the stream."""
         for record in records:
-            self.apply_record(record, after_outage)
+            self.apply_record(record, context)
 
-    def apply_record(self, record: CompactedRecord, after_outage: bool) -> None:
+    def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
         """Apply one record."""
         if record.value is None:
             return
@@ -64,15 +64,15 @@
         self._adapter = adapter
         self._directory = directory
 
-    def apply_snapshot(self, records: tuple[CompactedRecord, ...], after_outage: bool) -> None:
+    def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
         """Replace the directory's entries by those in *records*."""
         entries = [self._decode(record) for record in records if record.value is not None]
-        self._directory.replace((entry for entry in entries if entry), after_outage)
+        self._directory.replace((entry for entry in entries if entry), context)
 
-    def apply_record(self, record: CompactedRecord, after_outage: bool) -> None:
+    def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
         """Apply one record."""
         if record.value is None:
-            self._directory.remove(record.key, after_outage)
+            self._directory.remove(record.key, context)
             return
         entry = self._decode(record)
         if entry is not None:
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -48,14 +48,14 @@
 
     def __init__(self, address: Endpoint) -> None:
         self._url = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
-    async def newest(self, stream: Stream) -> CompactedPage:
+    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
         query = {"Topic": COMPACTED_TOPIC_PREFIX + stream.topic, "part": str(stream.part)}
         records: list[CompactedRecord] = []
         end: int | None = None
         for _ in range(MAX_LISTING_PAGES):
-            status, body = await self._get("/-/log-newest", query, READ_TIMEOUT_MS)
+            status, body = await self._get("/-/log-newest", query, READ_TIMEOUT_MS, new_connection)
             if status == 404:
                 # Treated as the end of the listing.
                 return CompactedPage(tuple(records), end or 0)
@@ -70,14 +70,16 @@
                 raise PlatformUnavailable(f"malformed listing: {error!r}") from error
         raise PlatformUnavailable(f"listing has more than {MAX_LISTING_PAGES} pages")
 
-    async def read(self, stream: Stream, first: int, wait: int) -> CompactedPage:
+    async def read(
+        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+    ) -> CompactedPage:
         query = {
             "Topic": COMPACTED_TOPIC_PREFIX + stream.topic,
             "part": str(stream.part),
             "From": str(first),
             "WaitMs": str(wait),
         }
-        status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS)
+        status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS, new_connection)
         if status == 404:
             # Treated as an empty page.  Wait here, since the log service did not.
             await asyncio.sleep(min(wait, READ_TIMEOUT_MS) / 1_000)
@@ -87,7 +89,7 @@
         if status != 200:
             raise PlatformUnavailable(f"read returned status {status}")
         records = _split_records(body, first)
-        return CompactedPage(records, first + len(records))
+        return CompactedPage(records, first + len(records), _parse_end(body))
 
     async def append(
         self,
@@ -119,14 +121,22 @@
         raise AppendRefused(f"append returned status {status}: {detail}")
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        for session in self._sessions.values():
+            await session.close()
 
-    async def _get(self, path: str, query: dict[str, str], timeout: int) -> tuple[int, bytes]:
-        return await self._call("GET", path, query, timeout, None)
+    async def _get(
+        self, path: str, query: dict[str, str], timeout: int, new_connection: bool
+    ) -> tuple[int, bytes]:
+        return await self._call("GET", path, query, timeout, None, new_connection)
 
     async def _call(
-        self, method: str, path: str, query: dict[str, str], timeout: int, data: bytes | None
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout: int,
+        data: bytes | None,
+        new_connection: bool = False,
     ) -> tuple[int, bytes]:
         """Return status and body; raise PlatformUnavailable unless a complete response arrives."""
         # aiohttp's total timeout loses a cancellation that arrives at the moment when it expires.
@@ -134,7 +144,7 @@
         try:
             async with (
                 asyncio.timeout(timeout / 1_000),
-                self._client().request(
+                self._session(new_connection).request(
                     method, self._url + path, params=query, data=data, timeout=client_timeout
                 ) as response,
             ):
@@ -142,15 +152,20 @@
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
 
-    def _client(self) -> aiohttp.ClientSession:
-        if self._session is None:
+    def _session(self, new_connection: bool) -> aiohttp.ClientSession:
+        """Return the session that reuses connections, or the one that opens one for each call."""
+        session = self._sessions.get(new_connection)
+        if session is None:
             connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_TIMEOUT_S, socket_factory=_create_socket
+                limit=0,
+                force_close=new_connection,
+                keepalive_timeout=None if new_connection else IDLE_TIMEOUT_S,
+                socket_factory=_create_socket,
             )
-            self._session = aiohttp.ClientSession(
+            session = self._sessions[new_connection] = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
-        return self._session
+        return session
 
 
 def _create_socket(info: tuple) -> socket.socket:
@@ -172,6 +187,11 @@
     )
 
 
+def _parse_end(body: bytes) -> int:
+    """Return the end of the stream from the response to a read, 0 if it is incomplete."""
+    return _READ_HEADER.unpack_from(body)[0] if len(body) >= _READ_HEADER.size else 0
+
+
 def _split_records(body: bytes, first: int) -> tuple[CompactedRecord, ...]:
     """Return the records in the response to a read, without an incomplete last one."""
     records = []
--- a/src/fuchsiatrack/platform/settings.py
+++ b/src/fuchsiatrack/platform/settings.py
@@ -38,6 +38,8 @@
         reports=Endpoint(fields.field(table, "Self.Ip", str), _first_internal_port(table)),
         log_service=_endpoint(table, "Platform.Platform.Address"),
         metrics_port=METRICS_PORT,
+        drain=fields.duration(bounds.get("Drain"), "Terms.Bounds.Drain"),
+        contact=fields.duration(bounds.get("Contact"), "Terms.Bounds.Contact"),
         max_hold=fields.duration(bounds.get("MaxHold"), "Terms.Bounds.MaxHold"),
         stop_grace=fields.duration(bounds.get("Grace"), "Terms.Bounds.Grace"),
         retry_ratio=fields.field(table, "Terms.Bounds.BudgetRatio", float),
--- a/src/fuchsiatrack/ranges/ownershipcache.py
+++ b/src/fuchsiatrack/ranges/ownershipcache.py
@@ -6,7 +6,7 @@
 
 from reactivex.subject import Subject
 
-from fuchsiatrack.control.compactedlog import CompactedRecord
+from fuchsiatrack.control.compactedlog import CompactedRecord, ReadContext
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.ranges.leadership import Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
@@ -41,12 +41,12 @@
             (item.first, item.next_fence), self._clock.now()
         )
 
-    def apply_snapshot(self, records: tuple[CompactedRecord, ...], after_outage: bool) -> None:
+    def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
         """Apply the newest record of each key of the state stream."""
         for record in records:
-            self.apply_record(record, after_outage)
+            self.apply_record(record, context)
 
-    def apply_record(self, record: CompactedRecord, after_outage: bool) -> None:
+    def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
         """Apply one record of the state stream."""
         if record.key == TERM_KEY:
             self._leadership.apply_term_record(record.value)
--- a/src/fuchsiatrack_standins/soak/daemons.py
+++ b/src/fuchsiatrack_standins/soak/daemons.py
@@ -27,6 +27,8 @@
 [Platform.Platform]
 Address = "{store}"
 [Terms.Bounds]
+Contact = "3000ms"
+Drain = "2000ms"
 MaxHold = "10000ms"
 Grace = "6s"
 BudgetRatio = 0.2
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -39,6 +39,8 @@
         "reports": Endpoint("127.0.0.1", free_port(socket.SOCK_DGRAM)),
         "log_service": endpoint_of(log_service),
         "metrics_port": free_port(),
+        "drain": 2_000,
+        "contact": 3_000,
         "max_hold": 10_000,
         "stop_grace": 6_000,
         "retry_ratio": 0.2,
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -176,11 +176,11 @@
         async with run_fleet() as fleet:
             server = await fleet.add_server("stock-0", "stock", keyed=True)
             fleet.publish(1, [route("keyed", "/keyed/", "safe", "stock")], ("stock",))
-            daemon = await fleet.add_daemon("entry-1")
+            daemon = await fleet.add_daemon("entry-1", drain=60_000)
             await fleet.wait_ready()
             await fleet.call("/keyed/", key=7, request_id="to-ready")
             server.announce("draining")
-            while not daemon._directory.draining_for("stock-0"):
+            while not daemon._directory.unavailable_for("stock-0"):
                 await asyncio.sleep(0.01)
             await fleet.call("/keyed/", key=7, request_id="to-draining")
             metrics = daemon._metrics.render()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,6 +60,8 @@
 BudgetRatio = 0.2
 BudgetWindow = "10s"
 BudgetSlack = 58
+Contact = "3000ms"
+Drain = "2000ms"
 MaxHold = "10000ms"
 """
 
--- a/tests/test_range_faults.py
+++ b/tests/test_range_faults.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerIncarnation
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.ranges import controller as controller_module
@@ -96,7 +97,7 @@
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.clock = SystemClock()
-        self.directory = ServerDirectory(self.clock)
+        self.directory = ServerDirectory(self.clock, DepartureBudget(2_000, 3_000))
         for incarnation in INCARNATIONS:
             self.directory.put(_entry(incarnation))
         self.grant_client = FaultyRangeGrantClient(self.clock, self.rng)
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -10,6 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fuchsiatrack.control.compactedlog import ReadContext
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock, SystemClock
 from fuchsiatrack.kernel.errors import AppendRefused
@@ -329,7 +331,7 @@
         while True:
             page = await self.log_service.read(STATE_STREAM, self.next_offset, 100)
             for record in page.records:
-                self.ownership_cache.apply_record(record, False)
+                self.ownership_cache.apply_record(record, ReadContext())
             self.next_offset = page.next
 
     async def close(self) -> None:
@@ -575,7 +577,7 @@
         monkeypatch.setattr(controller_module, "FIRST_ASSIGNMENT_DELAY_MS", 0)
         monkeypatch.setattr(controller_module, "STEP_PERIOD_MS", 10)
         clock = SystemClock()
-        directory = ServerDirectory(clock)
+        directory = ServerDirectory(clock, DepartureBudget(2_000, 3_000))
         for incarnation in INCARNATIONS:
             directory.put(_entry(incarnation))
         grant_client, leadership, saved = FakeRangeGrantClient(clock), FakeLeadership(), SavedMaps()
@@ -647,7 +649,7 @@
         await _wait_for(lambda: all(grant_client.holders(key) for key in range(0, LAST_KEY, 999)))
         grant_client.active_grants.pop("s0:1")
         grant_client.unreachable.add("s0:1")
-        directory.remove("s0", False)
+        directory.remove("s0", ReadContext())
         other = dataclasses.replace(
             _entry(ServerIncarnation("t9", 5)), address="s0:1", service="other"
         )
@@ -732,7 +734,7 @@
         self, current: OwnershipMap, pending: OwnershipMap
     ) -> tuple[GrantRenewer, FakeRangeGrantClient, FakeLeadership]:
         clock, leadership = SystemClock(), FakeLeadership()
-        directory = ServerDirectory(clock)
+        directory = ServerDirectory(clock, DepartureBudget(2_000, 3_000))
         for incarnation in INCARNATIONS:
             directory.put(_entry(incarnation))
         grant_client, view = FakeRangeGrantClient(clock), FixedView(current, pending)
--- a/tests/test_server_departure.py
+++ b/tests/test_server_departure.py
@@ -21,8 +21,8 @@
     Stream,
     StreamConsumer,
 )
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
-from fuchsiatrack.gateway.daemon import DIRECTORY_READ_PAUSE_MS, HOUSEKEEPING_INTERVAL_MS
 from fuchsiatrack.gateway.serverselection import (
     BalancedSelector,
     OwnerSelector,
@@ -153,12 +153,12 @@
     `last_sent_at` is the time of the last request for the server "s0", in milliseconds.
     """
 
-    def __init__(self, log: VirtualLog, phase: int = 0) -> None:
+    def __init__(self, log: VirtualLog) -> None:
         self.log = log
         self.clock = NodeClock()
         self.last_sent_at = -1
-        self._phase = phase
-        self.directory = ServerDirectory(self.clock)
+        budget = DepartureBudget(DRAIN_MS, CONTACT_MS)
+        self.directory = ServerDirectory(self.clock, budget)
         updater = DirectoryUpdater(FakeAdapter(), self.directory)
         self.consumer = StreamConsumer(
             log,
@@ -166,7 +166,7 @@
             self.clock,
             updater.apply_snapshot,
             updater.apply_record,
-            DIRECTORY_READ_PAUSE_MS,
+            budget.read_pause,
         )
 
     def balanced_selector(self) -> ServerSelector:
@@ -178,7 +178,7 @@
 
     @contextlib.contextmanager
     def running(self, selector: ServerSelector) -> Iterator[None]:
-        jobs = (self.consumer.run(), self._keep_house(), self._send_requests(selector))
+        jobs = (self.consumer.run(), self.directory.run(), self._send_requests(selector))
         tasks = [asyncio.create_task(job) for job in jobs]
         try:
             yield
@@ -186,12 +186,6 @@
             for task in tasks:
                 task.cancel()
 
-    async def _keep_house(self) -> None:
-        await self.clock.sleep(self._phase)
-        while True:
-            await self.clock.sleep(HOUSEKEEPING_INTERVAL_MS)
-            self.directory.expire()
-
     async def _send_requests(self, selector: ServerSelector) -> None:
         while True:
             await self.clock.sleep(REQUEST_PERIOD_MS)
@@ -216,7 +210,7 @@
 
     def test_server_that_left_while_the_daemon_was_cut_off_gets_no_requests(self):
         async def scenario(phase: int, forgets: bool) -> str:
-            parts = DaemonParts(await _start_log(), phase)
+            parts = DaemonParts(await _start_log())
             with parts.running(parts.balanced_selector()):
                 await asyncio.sleep(1)
                 parts.log.is_cut = True
@@ -257,7 +251,7 @@
         """Running servers register again within about 2 s after the log service comes back."""
 
         async def scenario(phase: int) -> str:
-            parts = DaemonParts(await _start_log(), phase)
+            parts = DaemonParts(await _start_log())
             gone: list[str] = []
             with parts.running(parts.balanced_selector()):
                 await asyncio.sleep(1)
--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -13,6 +13,7 @@
     Stream,
     StreamConsumer,
 )
+from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.errors import PlatformUnavailable
@@ -31,10 +32,12 @@
         self.is_down = False
         self._appended = asyncio.Condition()
 
-    async def newest(self, stream: Stream) -> CompactedPage:
+    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
         return CompactedPage(tuple(self.records), len(self.records))
 
-    async def read(self, stream: Stream, first: int, wait: int) -> CompactedPage:
+    async def read(
+        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+    ) -> CompactedPage:
         self.reads += 1
         if self.is_down:
             raise PlatformUnavailable("down")
@@ -63,8 +66,8 @@
             log,
             Stream("servers"),
             SystemClock(),
-            lambda records, after_outage: None,
-            lambda record, after_outage: seen.append(record.key),
+            lambda records, context: None,
+            lambda record, context: seen.append(record.key),
             pause=200,
         )
         task = asyncio.create_task(consumer.run())
@@ -113,15 +116,15 @@
         The removal must not count as an expiry during the outage that ended shortly before.
         """
         log, clock = FakeLog(), SystemClock()
-        directory = ServerDirectory(clock)
+        directory = ServerDirectory(clock, DepartureBudget(2_000, 3_000))
         entry = ServerEntry(ServerIncarnation("s0", 1), "lab", "127.0.0.1:1", "a", 4, False, False)
         directory.put(entry)
         consumer = StreamConsumer(
             log,
             Stream("servers"),
             clock,
-            lambda records, after_outage: None,
-            lambda record, after_outage: directory.remove(record.key, after_outage),
+            lambda records, context: None,
+            lambda record, context: directory.remove(record.key, context),
         )
         task = asyncio.create_task(consumer.run())
         await asyncio.sleep(0.05)
