Check the server's entry again once its connection is open

What callers saw: requests were sent to servers that had left while a connection to them was being opened, for up to 0.4 s (CONNECT_TIMEOUT_MS).

Cause: the last check of the entry came before the connection was acquired, so that this delay followed the check.

Why it works: nothing that takes time lies between the check and the write of the head; the connection that is not used goes back to the pool.

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -251,14 +251,19 @@
         connection_share = self._connection_share()
         await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
         try:
-            if not self._dependencies.find_selector(self._service).is_current(
-                entry, selection_request
-            ):
-                raise RequestError(ErrorReason.STALE_ROUTE, retry_after_ms=RETRY_AFTER_MS)
-            return await self._send_admitted(entry, route, request_metadata, connection_share)
+            self._check_current(entry, selection_request)
+            return await self._send_admitted(
+                entry, route, request_metadata, selection_request, connection_share
+            )
         finally:
             queue.release(stats.service_time)
 
+    def _check_current(self, entry: ServerEntry, selection_request: SelectionRequest) -> None:
+        """Raise RequestError if *entry* may not get the request any more."""
+        selector = self._dependencies.find_selector(self._service)
+        if not selector.is_current(entry, selection_request):
+            raise RequestError(ErrorReason.STALE_ROUTE, retry_after_ms=RETRY_AFTER_MS)
+
     def _queued_request(self, route: Route) -> QueuedRequest:
         return QueuedRequest(route.priority, self._started_at + route.objective, self._deadline)
 
@@ -272,6 +277,7 @@
         entry: ServerEntry,
         route: Route,
         request_metadata: RequestMetadata,
+        selection_request: SelectionRequest,
         connection_share: int,
     ) -> web.Response:
         dependencies = self._dependencies
@@ -285,6 +291,12 @@
                 entry.id, entry.address, connection_share - queue.in_flight
             )
             connection = await dependencies.connections.acquire(entry.id, entry.address, max_idle)
+            try:
+                # Opening a connection takes time.
+                self._check_current(entry, selection_request)
+            except RequestError:
+                dependencies.connections.release(entry.id, entry.address, connection)
+                raise
             self._record_send(entry)
             self._tried_servers.add(entry.id)
             response = await self._send_request(connection, entry)
