Notice a server's leaving when every open read is lost

Cause: a daemon relies on its peers to report records that its own read missed. If every daemon's read is lost, nobody has read them, and the polls of 20 s end by their timeouts only. A record that was read late also started the full time of a draining owner.

Why it works: the leader polls for 0.5 s at a time, so what it reports is never older than 0.8 s; a daemon without a leader polls for 1 s; the keepalive of the log connections ends a poll on a dead one within 2 s. Records that were read late give a draining server only the rest of Drain since the read before. A read on a connection that was open before no longer counts as an outage, since it may have been dead for any time.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -20,7 +20,9 @@
 POLL_WAIT_MS = 20_000
 # Wait of a long poll otherwise: short enough that a poll which the service has lost, and which
 # receives nothing, ends before the delay does harm.
-ISOLATED_POLL_WAIT_MS = 2_200
+ISOLATED_POLL_WAIT_MS = 1_000
+# Wait of a long poll of the leader, whose offsets reveal the lost polls of all its peers.
+LEADER_POLL_WAIT_MS = 500
 # An open poll counts as lost if a peer's records have not arrived this long after the peer reported
 # them.  This is the longest response time of a healthy log service.
 LOST_POLL_TIMEOUT_MS = 250
@@ -74,11 +76,11 @@
 class Outage:
     """An interruption of the reads of a stream; times of the reader's clock, in milliseconds.
 
-    `failed_at` is when the last read started that got no response, so the log service was
-    unavailable to this reader at some time after it.  `ended_at` is when the next read returned.
+    The log service was unavailable to this reader at some time after `unavailable_at`, when the
+    last read started that shows it.  `ended_at` is when the next read returned.
     """
 
-    failed_at: int
+    unavailable_at: int
     ended_at: int
 
 
@@ -87,11 +89,13 @@
     """Under which circumstances records were read.
 
     `outage` is the latest interruption, None if there was none.  With `is_backlog`, the records
-    may have been appended before it ended.
+    may have been appended long before they were read, at any time after `previous_read_at`, a time
+    of the reader's clock in milliseconds.
     """
 
     outage: Outage | None = None
     is_backlog: bool = False
+    previous_read_at: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,7 +110,8 @@
 class CompactedLog(abc.ABC):
     """Streams of keyed records with conditional and fenced appends.
 
-    Every method raises PlatformUnavailable if the service does not respond in time.
+    Every method raises PlatformUnavailable if the service does not respond in time, and its
+    subclass PlatformBusy if the service rejects the call for now.
     """
 
     @abc.abstractmethod
@@ -176,7 +181,8 @@
         self._on_snapshot = on_snapshot
         self._on_record = on_record
         self._pause = pause
-        self._failed_at: int | None = None
+        self._unavailable_at: int | None = None
+        self._last_failure_at = 0
         self._is_failing = False
         self._outage: Outage | None = None
         self._outage_started_at = 0
@@ -186,8 +192,10 @@
         self._poll_started_at = 0
         self._poll_requested = asyncio.Event()
         self._has_peers = False
+        self._is_leading = False
+        self._previous_read_at = 0
         self.next = 0
-        self.read_at = -1
+        self.read_at = 0
         self.caught_up = asyncio.Event()
 
     @property
@@ -237,6 +245,7 @@
                 "poll_ms": self._clock.now() - self._poll_started_at,
             }
             log.info("replacing a poll that missed records", extra=fields)
+            self._is_backlog = True
             self.poll_now()
 
     def mark_isolated(self) -> None:
@@ -245,6 +254,12 @@
             self._has_peers = False
             self.poll_now()
 
+    def set_leading(self, is_leading: bool) -> None:
+        """Record whether this daemon leads, so that its peers rely on what it has read."""
+        if is_leading and not self._is_leading:
+            self.poll_now()
+        self._is_leading = is_leading
+
     def poll_now(self) -> None:
         """Read now instead of waiting for the end of a long poll or a pause.
 
@@ -269,11 +284,8 @@
 
     async def _poll_once(self) -> CompactedPage | None:
         """Return the next page, or None if the poll was cancelled in favour of a new one."""
-        wait = POLL_WAIT_MS if self._has_peers else ISOLATED_POLL_WAIT_MS
-        if self._poll_requested.is_set():
-            wait = 0
+        wait = self._poll_wait = 0 if self._poll_requested.is_set() else self._longest_wait()
         self._poll_requested.clear()
-        self._poll_wait = wait
         self._poll_started_at = self._clock.now()
         attempt = functools.partial(self._attempt_read, wait)
         self._poll = asyncio.ensure_future(self._call(attempt, wait))
@@ -287,6 +299,11 @@
         finally:
             self._poll = None
 
+    def _longest_wait(self) -> int:
+        if self._is_leading:
+            return LEADER_POLL_WAIT_MS
+        return POLL_WAIT_MS if self._has_peers else ISOLATED_POLL_WAIT_MS
+
     async def _wait_for_poll_now(self) -> None:
         try:
             async with asyncio.timeout(self._pause / 1_000):
@@ -310,30 +327,31 @@
         try:
             return await call.run(wait)
         finally:
-            if call.failed_at is not None:
-                self._failed_at = call.failed_at
+            self._is_backlog |= call.is_repeated
+            if call.unavailable_at is not None:
+                self._unavailable_at = call.unavailable_at
 
     def _context(self) -> ReadContext:
-        return ReadContext(self._outage, self._is_backlog)
+        return ReadContext(self._outage, self._is_backlog, self._previous_read_at)
 
     def _record_failure(self, error: PlatformUnavailable, started_at: int) -> None:
+        self._last_failure_at = started_at
         if not self._is_failing:
             self._is_failing = True
             self._outage_started_at = started_at
             log.warning("log unavailable", extra={"topic": self._stream.topic, "why": str(error)})
 
     def _record_success(self) -> None:
-        self.read_at = self._clock.now()
-        if self._failed_at is not None:
-            self._outage = Outage(self._failed_at, self.read_at)
-            self._is_backlog = True
-            self._failed_at = None
+        self._previous_read_at, self.read_at = self.read_at, self._clock.now()
+        if self._unavailable_at is not None:
+            self._outage = Outage(self._unavailable_at, self.read_at)
+            self._unavailable_at = None
         if self._is_failing:
             self._is_failing = False
             fields = {
                 "topic": self._stream.topic,
                 "outage_ms": self.read_at - self._outage_started_at,
-                "last_failure_ms": self._outage.ended_at - self._outage.failed_at,
+                "last_failure_ms": self.read_at - self._last_failure_at,
             }
             log.warning("log available again", extra=fields)
 
--- a/src/fuchsiatrack/control/hedgedcall.py
+++ b/src/fuchsiatrack/control/hedgedcall.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
 from fuchsiatrack.kernel.clock import Clock
-from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.kernel.errors import PlatformBusy, PlatformUnavailable
 
 T = TypeVar("T")
 
@@ -16,13 +17,19 @@
 ATTEMPT_INTERVAL_MS = 300
 
 
+@dataclasses.dataclass(frozen=True)
+class _Attempt:
+    started_at: int
+    new_connection: bool
+
+
 class HedgedCall(Generic[T]):
     """One call, attempted until an attempt returns.
 
-    *attempt* starts one attempt.  It receives whether this is the first one, and whether an earlier
-    one is still unanswered, so that the connections in use may be dead; it raises
-    PlatformUnavailable if the attempt fails, at the latest after its own timeout.  *on_failure*
-    receives that error and the time when the attempt started.
+    *attempt* starts one attempt.  It receives whether this is the first one, and whether to use a
+    new connection because an earlier attempt got no response; it raises PlatformUnavailable if the
+    attempt fails, at the latest after its own timeout.  *on_failure* receives that error and the
+    time when the attempt started.
     """
 
     def __init__(
@@ -34,16 +41,24 @@
         self._attempt = attempt
         self._clock = clock
         self._on_failure = on_failure
-        self._open: dict[asyncio.Future[T], int] = {}
-        self._failed_at: int | None = None
+        self._open: dict[asyncio.Future[T], _Attempt] = {}
+        self._attempt_count = 0
+        self._has_lost_connection = False
+        self._unavailable_at: int | None = None
 
     @property
-    def failed_at(self) -> int | None:
-        """When the last attempt started that failed or was overtaken; None if there is none.
+    def is_repeated(self) -> bool:
+        """Whether there was more than one attempt."""
+        return self._attempt_count > 1
 
-        The service was unavailable at some time after that, unless the attempt's connection was.
+    @property
+    def unavailable_at(self) -> int | None:
+        """When the last attempt started that shows that the service was unavailable, or None.
+
+        An attempt without a response shows that only if it used a new connection: one that was
+        open before may have been dead for any time.
         """
-        return self._failed_at
+        return self._unavailable_at
 
     async def run(self, first_wait: int = 0) -> T:
         """Return the result of the first attempt that returns, and cancel the others.
@@ -52,28 +67,30 @@
         repeated.  Any error other than PlatformUnavailable ends the call.
         """
         try:
-            next_start = self._start(is_first=True) + first_wait + ATTEMPT_INTERVAL_MS
+            next_start = self._start() + first_wait + ATTEMPT_INTERVAL_MS
             while True:
                 await self._wait_until(next_start)
-                for attempt in [item for item in self._open if item.done()]:
-                    started_at = self._open.pop(attempt)
-                    if not isinstance(attempt.exception(), PlatformUnavailable):
-                        self._record_overtaken(started_at)
-                        return attempt.result()
-                    self._record_failure(attempt.exception(), started_at)
+                for task in [item for item in self._open if item.done()]:
+                    attempt = self._open.pop(task)
+                    if not isinstance(task.exception(), PlatformUnavailable):
+                        self._record_overtaken(attempt)
+                        return task.result()
+                    self._record_failure(task.exception(), attempt)
                     next_start = min(next_start, self._clock.now() + ATTEMPT_INTERVAL_MS)
                 if self._clock.now() >= next_start:
-                    next_start = self._start(is_first=False) + ATTEMPT_INTERVAL_MS
+                    next_start = self._start() + ATTEMPT_INTERVAL_MS
         finally:
-            for attempt in self._open:
-                attempt.cancel()
+            for task in self._open:
+                task.cancel()
 
-    def _start(self, is_first: bool) -> int:
+    def _start(self) -> int:
         """Start an attempt and return the current time."""
         now = self._clock.now()
-        attempt = asyncio.ensure_future(self._attempt(is_first, bool(self._open)))
-        attempt.add_done_callback(_retrieve_exception)
-        self._open[attempt] = now
+        new_connection = self._has_lost_connection or bool(self._open)
+        task = asyncio.ensure_future(self._attempt(not self._attempt_count, new_connection))
+        task.add_done_callback(_retrieve_exception)
+        self._open[task] = _Attempt(now, new_connection)
+        self._attempt_count += 1
         return now
 
     async def _wait_until(self, moment: int) -> None:
@@ -88,18 +105,24 @@
         else:
             await self._clock.sleep(remaining)
 
-    def _record_failure(self, error: BaseException, started_at: int) -> None:
-        self._failed_at = max(started_at, self._failed_at or started_at)
-        self._on_failure(error, started_at)
+    def _record_failure(self, error: BaseException, attempt: _Attempt) -> None:
+        is_response = isinstance(error, PlatformBusy)
+        if is_response or attempt.new_connection:
+            self._record_unavailable(attempt)
+        self._has_lost_connection |= not is_response
+        self._on_failure(error, attempt.started_at)
 
-    def _record_overtaken(self, started_at: int) -> None:
+    def _record_overtaken(self, winner: _Attempt) -> None:
         """Count open attempts that started before the one that returned as failed."""
-        overtaken = [start for start in self._open.values() if start < started_at]
-        if overtaken:
-            self._failed_at = max(*overtaken, self._failed_at or overtaken[0])
+        for attempt in self._open.values():
+            if attempt.new_connection and attempt.started_at < winner.started_at:
+                self._record_unavailable(attempt)
+
+    def _record_unavailable(self, attempt: _Attempt) -> None:
+        self._unavailable_at = max(attempt.started_at, self._unavailable_at or 0)
 
 
-def _retrieve_exception(attempt: asyncio.Future) -> None:
+def _retrieve_exception(task: asyncio.Future) -> None:
     """Prevent asyncio from logging the exception of an attempt that was overtaken."""
-    if not attempt.cancelled():
-        attempt.exception()
+    if not task.cancelled():
+        task.exception()
--- a/src/fuchsiatrack/directory/departurebudget.py
+++ b/src/fuchsiatrack/directory/departurebudget.py
@@ -39,6 +39,14 @@
         delays = self.read_pause + READ_RESPONSE_MS + SEND_DELAY_MS
         return max(0, self.drain - delays)
 
+    def drain_deadline(self, context: ReadContext, now: int) -> int:
+        """Return until when a server may get requests that was just read to be draining."""
+        deadline = now + self.send_time
+        if not context.is_backlog:
+            return deadline
+        delays = READ_RESPONSE_MS + SEND_DELAY_MS
+        return min(deadline, context.previous_read_at + self.drain - delays)
+
     def relist_deadline(self, context: ReadContext, now: int) -> int:
         """Return until when a server that is not listed any more may be about to register again.
 
@@ -50,6 +58,6 @@
             return now
         deadline = min(
             outage.ended_at + RELIST_TIMEOUT_MS,
-            outage.failed_at + self.contact - SEND_DELAY_MS,
+            outage.unavailable_at + self.contact - SEND_DELAY_MS,
         )
         return deadline if context.is_backlog else min(deadline, now + self.send_time)
--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -168,10 +168,10 @@
         """Return the last entry of *incarnation*, which is no longer listed, or None."""
         return self._former_entries.get(incarnation)
 
-    def put(self, entry: ServerEntry) -> None:
+    def put(self, entry: ServerEntry, context: ReadContext) -> None:
         """Add or update the entry of a server."""
         old = self._entries.get(entry.id)
-        self._update_departure(entry, old)
+        self._update_departure(entry, old, context)
         if old == entry:
             return
         self._entries[entry.id] = entry
@@ -208,7 +208,7 @@
         for server in self._entries.keys() - listed.keys():
             self.remove(server, context)
         for entry in listed.values():
-            self.put(entry)
+            self.put(entry, context)
 
     def expire(self) -> None:
         """Drop the entries that expired during an outage and were not registered again in time."""
@@ -233,7 +233,9 @@
             if departure.state is EntryState.EXPIRED:
                 yield server, departure.send_until
 
-    def _update_departure(self, entry: ServerEntry, old: ServerEntry | None) -> None:
+    def _update_departure(
+        self, entry: ServerEntry, old: ServerEntry | None, context: ReadContext
+    ) -> None:
         """Record whether the listed server drains."""
         if not entry.draining:
             self._departures.pop(entry.id, None)
@@ -244,7 +246,7 @@
             return
         now = self._clock.now()
         # A server that was not listed before may have been draining for any time.
-        send_until = now if old is None else now + self._budget.send_time
+        send_until = now if old is None else self._budget.drain_deadline(context, now)
         self._departures[entry.id] = _Departure(EntryState.DRAINING, now, send_until)
 
     def _drop(self, server: str) -> None:
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -270,6 +270,7 @@
                 for consumer in self._consumers.values():
                     consumer.mark_isolated()
             term = self.leadership.current
+            self._update_poll_modes(term)
             self._notify_previous_leader(term)
             if not term.report_address or term.resigned:
                 continue
@@ -279,6 +280,12 @@
                 else:
                     self._protocol.send(report, term.report_address)
 
+    def _update_poll_modes(self, term: Term) -> None:
+        """Let the leader poll often the streams whose offsets it acknowledges."""
+        is_leading = term.incarnation == self._incarnation and not term.resigned
+        for name in self._offsets():
+            self._consumers[name].set_leading(is_leading)
+
     def _notify_previous_leader(self, term: Term) -> None:
         """Report *term* to the previous leader, which may be unable to read the log."""
         if term.number == self._last_notified_term:
--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -20,11 +20,6 @@
 
 from fuchsiatrack.kernel.verdict import Verdict
 
-# The kernel aborts a connection whose data stays unacknowledged for this long.
-UNACKNOWLEDGED_TIMEOUT_MS = 2_500
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # Connections that have been idle for longer are closed instead of reused.
 MAX_IDLE_MS = 8_000
 # Subtracted from the idle timeout that a server announces.
@@ -34,6 +29,24 @@
 READ_BUFFER_BYTES = 262_144
 
 
+@dataclasses.dataclass(frozen=True)
+class KeepaliveSettings:
+    """When the kernel aborts a connection whose peer is unresponsive.
+
+    It sends a probe after `idle_s` seconds without data, then one each `interval_s`, and aborts
+    after `probes` without a response, or when anything stays unacknowledged for
+    `unacknowledged_ms` milliseconds.
+    """
+
+    idle_s: int
+    interval_s: int
+    probes: int
+    unacknowledged_ms: int
+
+
+SERVER_KEEPALIVE = KeepaliveSettings(idle_s=2, interval_s=1, probes=2, unacknowledged_ms=2_500)
+
+
 class ConnectFailed(Exception):
     """No connection could be opened, so nothing was sent."""
 
@@ -235,13 +248,13 @@
         self._payload = None
 
 
-def set_keepalive(sock: socket.socket) -> None:
+def set_keepalive(sock: socket.socket, settings: KeepaliveSettings = SERVER_KEEPALIVE) -> None:
     """Let the kernel detect an unresponsive peer."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, settings.idle_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, settings.interval_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, settings.probes)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, settings.unacknowledged_ms)
 
 
 def _parse_idle_timeout(headers: CIMultiDictProxy[str]) -> int:
--- a/src/fuchsiatrack/gateway/sources.py
+++ b/src/fuchsiatrack/gateway/sources.py
@@ -76,7 +76,7 @@
             return
         entry = self._decode(record)
         if entry is not None:
-            self._directory.put(entry)
+            self._directory.put(entry, context)
 
     def _decode(self, record: CompactedRecord) -> ServerEntry | None:
         try:
--- a/src/fuchsiatrack/kernel/errors.py
+++ b/src/fuchsiatrack/kernel/errors.py
@@ -17,6 +17,10 @@
     """The log service rejected an append, which had no effect."""
 
 
+class PlatformBusy(PlatformUnavailable):
+    """A service of the platform rejected a call for now."""
+
+
 class RecordsExpired(FuchsiatrackError):
     """The requested records are older than the log's retention.
 
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -22,9 +22,14 @@
     Stream,
     Writer,
 )
-from fuchsiatrack.gateway.serverconnection import set_keepalive
+from fuchsiatrack.gateway.serverconnection import KeepaliveSettings, set_keepalive
 from fuchsiatrack.gateway.settings import Endpoint
-from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable, RecordsExpired
+from fuchsiatrack.kernel.errors import (
+    AppendRefused,
+    PlatformBusy,
+    PlatformUnavailable,
+    RecordsExpired,
+)
 
 # Topics with this prefix keep the newest record of each key indefinitely.
 COMPACTED_TOPIC_PREFIX = "keyed."
@@ -35,6 +40,9 @@
 READ_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_S = 10.0
+# A poll on a dead connection ends within 2 s, so that reads catch up within the time after which
+# the platform expects it.
+KEEPALIVE = KeepaliveSettings(idle_s=1, interval_s=1, probes=1, unacknowledged_ms=2_000)
 MAX_LISTING_PAGES = 200
 # A response to a read starts with the stream's end and its first retained offset; records follow.
 _READ_HEADER = struct.Struct(">QQ")
@@ -87,7 +95,7 @@
         if status == 410:
             raise RecordsExpired(int(_decode_object(body).get("First", 0)))
         if status != 200:
-            raise PlatformUnavailable(f"read returned status {status}")
+            raise PlatformBusy(f"read returned status {status}")
         records = _split_records(body, first)
         return CompactedPage(records, first + len(records), _parse_end(body))
 
@@ -172,7 +180,7 @@
     family, socket_type, protocol, _, _ = info
     created = socket.socket(family, socket_type, protocol)
     created.setblocking(False)
-    set_keepalive(created)
+    set_keepalive(created, KEEPALIVE)
     return created
 
 
@@ -220,7 +228,7 @@
 
 def _parse_listing(status: int, body: bytes) -> dict[str, Any]:
     if status != 200:
-        raise PlatformUnavailable(f"listing returned status {status}")
+        raise PlatformBusy(f"listing returned status {status}")
     return _decode_object(body)
 
 
