Discard responses without end, in the head or the body

What callers would see: a faulty server that sends bytes without end made the daemon buffer them until the request's deadline, at the speed of the link, which can use up a VM's memory and end the requests of all its callers.

Cause: only single header lines had a bound. Blank lines and interim responses before the head, bodies without a length or with a huge one, chunks and chunk extensions had none.

Why it works: a head ends at 64 KiB, a response at 16 MiB, and when all incomplete responses together exceed 60 MiB the largest one is discarded, so that one faulty server doesn't cost others their responses. All received bytes count, also those of chunk framing.

--- a/src/fuchsiatrack/gateway/connectionpool.py
+++ b/src/fuchsiatrack/gateway/connectionpool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.serverconnection import (
     MAX_IDLE_MS,
     ConnectFailed,
@@ -17,10 +18,14 @@
 
 
 class ConnectionPool:
-    """Idle connections by server and address; the most recently used one is reused first."""
+    """Idle connections by server and address; the most recently used one is reused first.
 
-    def __init__(self, clock: Clock) -> None:
+    *memory* bounds the responses that are received on the pool's connections.
+    """
+
+    def __init__(self, clock: Clock, memory: ResponseMemory) -> None:
         self._clock = clock
+        self._memory = memory
         self._idle: dict[tuple[str, str], list[ServerConnection]] = {}
         self.opened_count = 0
 
@@ -98,7 +103,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
                 transport, connection = await loop.create_connection(
-                    lambda: ServerConnection(loop), host, int(port)
+                    lambda: ServerConnection(loop, self._memory), host, int(port)
                 )
         except (TimeoutError, OSError, ValueError) as error:
             raise ConnectFailed(f"{address}: {error!r}") from error
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -21,6 +21,7 @@
 from fuchsiatrack.gateway.forwarder import ExchangeDependencies
 from fuchsiatrack.gateway.listener import CallerListener
 from fuchsiatrack.gateway.rangeservice import RangeService
+from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.retrybudget import RetryBudgetSettings, SharedRetryBudget
 from fuchsiatrack.gateway.serverselection import BalancedSelector, OwnerSelector, ServerSelector
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
@@ -56,8 +57,9 @@
         self._rng = random.Random()
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
-        self._connections = ConnectionPool(self._clock)
-        self._control_connections = ConnectionPool(self._clock)
+        self._response_memory = ResponseMemory()
+        self._connections = ConnectionPool(self._clock, self._response_memory)
+        self._control_connections = ConnectionPool(self._clock, self._response_memory)
         self._stats = ServerStatsRegistry(self._clock)
         self._queues = AdmissionQueues(self._clock)
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -265,6 +267,7 @@
             "servers_expired": states.get(EntryState.EXPIRED, 0),
             "callers_connected": self._listener.connection_count,
             "requests_in_flight": self._listener.in_flight,
+            "response_bytes_incomplete": self._response_memory.total,
             "server_connections_opened": self._connections.opened_count,
             "daemons_counted": self._range_service.daemon_count,
             "leading": int(self._range_service.leadership.has_valid_lease()),
--- /dev/null
+++ b/src/fuchsiatrack/gateway/responsememory.py
@@ -0,0 +1,57 @@
+"""Bounds on the memory of responses that are being received."""
+
+from __future__ import annotations
+
+import abc
+
+# Largest response of one server, head and body.
+MAX_RESPONSE_BYTES = 16 * 2**20
+# Bound on all responses that are being received: a fifth of a VM's memory.
+MAX_TOTAL_BYTES = 60 * 2**20
+
+
+class ResponseReceiver(abc.ABC):
+    """Receives one response at a time."""
+
+    @abc.abstractmethod
+    def discard_response(self, reason: str) -> None:
+        """Stop receiving, and fail the request; *reason* is for logs."""
+
+
+class ResponseMemory:
+    """Counts the bytes received for each incomplete response.
+
+    A response above `max_response` bytes is discarded, and the largest one if all of them together
+    exceed `max_total`, so that one faulty server does not cost other servers their responses.
+    """
+
+    def __init__(
+        self, max_response: int = MAX_RESPONSE_BYTES, max_total: int = MAX_TOTAL_BYTES
+    ) -> None:
+        self._max_response = max_response
+        self._max_total = max_total
+        self._sizes: dict[ResponseReceiver, int] = {}
+        self._total = 0
+
+    @property
+    def total(self) -> int:
+        """Bytes of all incomplete responses."""
+        return self._total
+
+    def add(self, receiver: ResponseReceiver, size: int) -> None:
+        """Count *size* more bytes of the response that *receiver* receives."""
+        self._sizes[receiver] = self._sizes.get(receiver, 0) + size
+        self._total += size
+        if self._sizes[receiver] > self._max_response:
+            self._discard(receiver, f"response exceeds {self._max_response} bytes")
+        elif self._total > self._max_total:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            self._discard(largest, f"responses exceed {self._max_total} bytes together")
+
+    def remove(self, receiver: ResponseReceiver) -> None:
+        """Stop counting the response of *receiver*, if any."""
+        self._total -= self._sizes.pop(receiver, 0)
+
+    def _discard(self, receiver: ResponseReceiver, reason: str) -> None:
+        self.remove(receiver)
+        receiver.discard_response(reason)
--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -18,13 +18,14 @@
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.kernel.verdict import Verdict
 
 # Connections that have been idle for longer are closed instead of reused.
 MAX_IDLE_MS = 8_000
 # Subtracted from the idle timeout that a server announces.
 IDLE_MARGIN_MS = 1_000
-# Largest status or header line of a response.
+# Largest head of a response, with interim responses before it.
 MAX_HEAD_BYTES = 65_536
 READ_BUFFER_BYTES = 262_144
 
@@ -79,11 +80,13 @@
     body: bytes
 
 
-class ServerConnection(BaseProtocol):
+class ServerConnection(BaseProtocol, ResponseReceiver):
     """One connection to a backend server."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: ResponseMemory) -> None:
         super().__init__(loop)
+        self._memory = memory
+        self._head_size = 0
         self._head: asyncio.Future[tuple[RawResponseMessage, StreamReader]] | None = None
         self._payload: StreamReader | None = None
         self._error: Exception | None = None
@@ -113,6 +116,7 @@
         if not self.is_usable:
             raise RequestFailed("connection closed before the request was sent", Verdict.NOT_RUN)
         self._head = self._loop.create_future()
+        self._head_size = 0
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -130,6 +134,7 @@
             raise
         finally:
             self._head = None
+            self._memory.remove(self)
 
     async def _send_request(self, request: OutgoingRequest) -> ServerResponse:
         body_writer = await self._write_request(request)
@@ -210,6 +215,19 @@
             self._handle_message(message, payload)
         if trailing:
             self._must_close = True
+        self._count_received(len(data))
+
+    def _count_received(self, size: int) -> None:
+        if not self._head.done():
+            self._head_size += size
+            if self._head_size > MAX_HEAD_BYTES:
+                self.discard_response(f"head exceeds {MAX_HEAD_BYTES} bytes")
+                return
+        self._memory.add(self, size)
+
+    def discard_response(self, reason: str) -> None:
+        self._fail(ConnectionAbortedError(reason))
+        self.abort()
 
     def _handle_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
