Attempt reads of the log every 600 ms, and never large ones twice

Cause: retry amplification.

Why this works: 600 ms leaves room for a slow response, ownership maps, which make up most of the bytes, are read again only after their timeout, and a read without a wait is not replaced. Nobody's bound depends on the interval: the wait for servers that register again only gets shorter by it. The leader's polls and those of a daemon without a leader now last 1 s.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -12,17 +12,16 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 
-from fuchsiatrack.control.hedgedcall import HedgedCall
+from fuchsiatrack.control.hedgedcall import ATTEMPT_INTERVAL_MS, HedgedCall
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import FuchsiatrackError, PlatformUnavailable, RecordsExpired
 
 # Wait of a long poll while peers would report that records were missed.
 POLL_WAIT_MS = 20_000
-# Wait of a long poll otherwise: short enough that a poll which the service has lost, and which
-# receives nothing, ends before the delay does harm.
-ISOLATED_POLL_WAIT_MS = 1_000
-# Wait of a long poll of the leader, whose offsets reveal the lost polls of all its peers.
-LEADER_POLL_WAIT_MS = 500
+# Wait of a long poll otherwise, and of the leader, on whose offsets its peers rely: short enough
+# that a poll which the service has lost, and which receives nothing, ends before the delay does
+# harm.
+UNASSISTED_POLL_WAIT_MS = 1_000
 # An open poll counts as lost if a peer's records have not arrived this long after the peer reported
 # them.  This is the longest response time of a healthy log service.
 LOST_POLL_TIMEOUT_MS = 250
@@ -163,7 +162,8 @@
     *on_snapshot* receives the newest record of each key, once at the start and again whenever
     records were missed; *on_record* receives each later record.  Both also receive the context of
     the read.  After a page that ends the stream, the next read starts *pause* milliseconds later,
-    so that records which are appended together take one call.
+    so that records which are appended together take one call.  A read without a response is
+    repeated every *attempt_interval* milliseconds.
     """
 
     def __init__(
@@ -174,6 +174,7 @@
         on_snapshot: Callable[[tuple[CompactedRecord, ...], ReadContext], None],
         on_record: Callable[[CompactedRecord, ReadContext], None],
         pause: int = 0,
+        attempt_interval: int = ATTEMPT_INTERVAL_MS,
     ) -> None:
         self._log = log_service
         self._stream = stream
@@ -181,6 +182,7 @@
         self._on_snapshot = on_snapshot
         self._on_record = on_record
         self._pause = pause
+        self._attempt_interval = attempt_interval
         self._unavailable_at: int | None = None
         self._last_failure_at = 0
         self._is_failing = False
@@ -238,7 +240,7 @@
             loop.call_later(LOST_POLL_TIMEOUT_MS / 1_000, self._check_poll, self._poll, peer_offset)
 
     def _check_poll(self, poll: asyncio.Task[CompactedPage], peer_offset: int) -> None:
-        if self._poll is poll and peer_offset > self.next:
+        if self._poll is poll and self._poll_wait and peer_offset > self.next:
             fields = {
                 "topic": self._stream.topic,
                 "behind": peer_offset - self.next,
@@ -300,9 +302,8 @@
             self._poll = None
 
     def _longest_wait(self) -> int:
-        if self._is_leading:
-            return LEADER_POLL_WAIT_MS
-        return POLL_WAIT_MS if self._has_peers else ISOLATED_POLL_WAIT_MS
+        is_assisted = self._has_peers and not self._is_leading
+        return POLL_WAIT_MS if is_assisted else UNASSISTED_POLL_WAIT_MS
 
     async def _wait_for_poll_now(self) -> None:
         try:
@@ -323,7 +324,7 @@
     async def _call(
         self, attempt: Callable[[bool, bool], Awaitable[CompactedPage]], wait: int = 0
     ) -> CompactedPage:
-        call = HedgedCall(attempt, self._clock, self._record_failure)
+        call = HedgedCall(attempt, self._clock, self._record_failure, self._attempt_interval)
         try:
             return await call.run(wait)
         finally:
--- a/src/fuchsiatrack/control/hedgedcall.py
+++ b/src/fuchsiatrack/control/hedgedcall.py
@@ -12,9 +12,9 @@
 
 T = TypeVar("T")
 
-# Time between attempts.  It exceeds the longest response time of a healthy log service, so that an
-# attempt which is merely slow is not repeated.
-ATTEMPT_INTERVAL_MS = 300
+# Time between attempts.  It exceeds the longest response time of a healthy log service by far:
+# repeating attempts that are merely slow would slow the service down further.
+ATTEMPT_INTERVAL_MS = 600
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +29,7 @@
     *attempt* starts one attempt.  It receives whether this is the first one, and whether to use a
     new connection because an earlier attempt got no response; it raises PlatformUnavailable if the
     attempt fails, at the latest after its own timeout.  *on_failure* receives that error and the
-    time when the attempt started.
+    time when the attempt started.  Attempts start *interval* milliseconds apart.
     """
 
     def __init__(
@@ -37,10 +37,12 @@
         attempt: Callable[[bool, bool], Awaitable[T]],
         clock: Clock,
         on_failure: Callable[[PlatformUnavailable, int], None],
+        interval: int = ATTEMPT_INTERVAL_MS,
     ) -> None:
         self._attempt = attempt
         self._clock = clock
         self._on_failure = on_failure
+        self._interval = interval
         self._open: dict[asyncio.Future[T], _Attempt] = {}
         self._attempt_count = 0
         self._has_lost_connection = False
@@ -67,7 +69,7 @@
         repeated.  Any error other than PlatformUnavailable ends the call.
         """
         try:
-            next_start = self._start() + first_wait + ATTEMPT_INTERVAL_MS
+            next_start = self._start() + first_wait + self._interval
             while True:
                 await self._wait_until(next_start)
                 for task in [item for item in self._open if item.done()]:
@@ -76,9 +78,9 @@
                         self._record_overtaken(attempt)
                         return task.result()
                     self._record_failure(task.exception(), attempt)
-                    next_start = min(next_start, self._clock.now() + ATTEMPT_INTERVAL_MS)
+                    next_start = min(next_start, self._clock.now() + self._interval)
                 if self._clock.now() >= next_start:
-                    next_start = self._start() + ATTEMPT_INTERVAL_MS
+                    next_start = self._start() + self._interval
         finally:
             for task in self._open:
                 task.cancel()
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -38,6 +38,9 @@
 # Pause between reads of ownership from the log; the leader sends updates as datagrams, and these
 # reads recover lost ones.
 OWNERSHIP_READ_PAUSE_MS = 3_000
+# Ownership maps are large, and the leader sends them as datagrams anyway, so that a read which is
+# merely slow must not be repeated.
+OWNERSHIP_ATTEMPT_INTERVAL_MS = 1_500
 # Shortest interval between reads that misrouted requests trigger.
 MISROUTED_READ_INTERVAL_MS = 300
 # Without an acknowledgement for this long, no peer reports missed records to this daemon.
@@ -109,6 +112,7 @@
             self.ownership_cache.apply_snapshot,
             self.ownership_cache.apply_record,
             OWNERSHIP_READ_PAUSE_MS,
+            OWNERSHIP_ATTEMPT_INTERVAL_MS,
         )
         self._consumers = {**consumers, "ownership": self._consumer}
 
--- a/src/fuchsiatrack_standins/soak/callers.py
+++ b/src/fuchsiatrack_standins/soak/callers.py
@@ -83,7 +83,7 @@
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             text = repr(error)
-        state = _combine_states(state_before, daemon.state, starts_before != daemon.start_count)
+        state = combine_states(state_before, daemon.state, starts_before != daemon.start_count)
         took_ms = int((time.monotonic() - started_at_s) * 1_000)
         call = CompletedCall(request_id, method, daemon.vm, status, text, took_ms, state)
         self.calls.append(call)
@@ -94,7 +94,8 @@
         await self.session.close()
 
 
-def _combine_states(before: DaemonState, after: DaemonState, restarted: bool) -> DaemonState:
+def combine_states(before: DaemonState, after: DaemonState, restarted: bool) -> DaemonState:
+    """Return the state that counts for a request; see `CompletedCall`."""
     states = (before, after)
     if DaemonState.STOPPING in states and DaemonState.FAULTY not in states:
         return DaemonState.STOPPING
--- a/src/fuchsiatrack_standins/soak/daemons.py
+++ b/src/fuchsiatrack_standins/soak/daemons.py
@@ -69,6 +69,11 @@
         self.state = DaemonState.FAULTY
         self.start_count = 0
 
+    @property
+    def callers_address(self) -> tuple[str, int]:
+        """Host and port for callers."""
+        return self.host, self._ports["callers"]
+
     @property
     def url(self) -> str:
         """Base URL for callers."""
--- a/src/fuchsiatrack_standins/soak/guarantees.py
+++ b/src/fuchsiatrack_standins/soak/guarantees.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import collections
+import dataclasses
 import itertools
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from fuchsiatrack_standins.fleet.server import ServerStandIn
 from fuchsiatrack_standins.soak.callers import DEADLINE_MS, KEYS, CompletedCall
@@ -17,6 +18,10 @@
 # The rules of the users' platform allow a response this long after the deadline if a request
 # reaches its route's timeout.
 MAX_LATENESS_MS = 500
+# The rule DRAIN allows requests to reach a server for this long after it left, if they come from
+# daemons that had no disturbance for `CONTACT_S`.
+DRAIN_S = 2.0
+CONTACT_S = 3.0
 # The rule OWNER of the users' platform (see docs/INVARIANTS.md) allows two servers to own a key for
 # this long if neither executes requests for it.
 MAX_OVERLAP_S = 0.5
@@ -91,3 +96,32 @@
         if call.status == 0 and (is_healthy or (call.state is DaemonState.STOPPING and run_count)):
             violations.append(f"{call.request_id} at {call.vm} received no response: {call.text}")
     return violations
+
+
+@dataclasses.dataclass(frozen=True)
+class Disturbance:
+    """A time in which the log service or a daemon was faulty; seconds of the monotonic clock."""
+
+    started_at_s: float
+    ended_at_s: float
+
+    def excuses(self, moment_s: float) -> bool:
+        """Return whether a late request at *moment_s* may be due to the disturbance."""
+        return self.started_at_s <= moment_s < self.ended_at_s + CONTACT_S
+
+
+def check_departures(
+    servers: Iterable[ServerStandIn], disturbances: Sequence[Disturbance]
+) -> list[str]:
+    """Return a text for each request that reached a server which had left too long ago."""
+    violations = []
+    for server in servers:
+        if server.left_at_s is None:
+            continue
+        for run in server.runs:
+            late_s = run.arrived_at_s - server.left_at_s - DRAIN_S
+            if late_s > 0 and not any(item.excuses(run.arrived_at_s) for item in disturbances):
+                violations.append(
+                    f"{run.request_id} reached {server.id} {late_s * 1_000:.0f} ms too late"
+                )
+    return violations
