--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 
 import pytest
@@ -10,7 +11,13 @@
 from fuchsiatrack_standins.fleet.server import Grant, Run, ServerStandIn
 from fuchsiatrack_standins.soak.callers import CompletedCall
 from fuchsiatrack_standins.soak.daemons import DaemonState
-from fuchsiatrack_standins.soak.guarantees import OwnershipMonitor, check_calls
+from fuchsiatrack_standins.soak.guarantees import (
+    Disturbance,
+    OwnershipMonitor,
+    check_calls,
+    check_departures,
+)
+from fuchsiatrack_standins.soak.persistentcaller import PersistentCaller
 from fuchsiatrack_standins.soak.run import run_seed
 
 
@@ -63,6 +70,24 @@
     def test_kept_guarantee_is_not_reported(self, call: CompletedCall, servers: list):
         assert check_calls([call], servers) == []
 
+    def test_request_that_reaches_a_server_long_after_it_left_is_reported(self):
+        server = _server("s1", "in-time", "late")
+        server.left_at_s = 100.0
+        in_time, late = server.runs
+        in_time.arrived_at_s, late.arrived_at_s = 101.9, 102.1
+        [violation] = check_departures([server], [])
+        assert violation == "late reached s1 100 ms too late"
+
+    @pytest.mark.parametrize(("ended_at_s", "is_excused"), [(99.2, True), (99.0, False)])
+    def test_disturbance_excuses_a_late_request_until_its_daemon_is_bound_again(
+        self, ended_at_s: float, is_excused: bool
+    ):
+        server = _server("s1", "late")
+        server.left_at_s = 90.0
+        server.runs[0].arrived_at_s = 102.1
+        disturbances = [Disturbance(95.0, ended_at_s)]
+        assert (check_departures([server], disturbances) == []) is is_excused
+
     def test_two_owners_of_a_key_are_reported_after_half_a_second(self):
         servers = {name: _server(name) for name in ("s1", "s2")}
         for server in servers.values():
@@ -83,3 +108,53 @@
         result = await run_seed(1, 4.0, 2, tmp_path, check_timing=False)
         assert result.violations == (), result.describe()
         assert result.statuses.get(200, 0) > 50
+
+    async def test_servers_leave_in_series_while_settings_and_configurations_change(
+        self, tmp_path: pathlib.Path
+    ):
+        result = await run_seed(3, 6.0, 4, tmp_path, check_timing=False)
+        assert result.violations == (), result.describe()
+        assert result.statuses.get(200, 0) > 50
+
+
+class FakeDaemon:
+    """A daemon that answers *responses* requests on each connection and then closes it."""
+
+    vm = "entry-1"
+    state = DaemonState.STOPPING
+    start_count = 1
+
+    def __init__(self, responses: int) -> None:
+        self._responses = responses
+        self._server: asyncio.Server | None = None
+        self.callers_address = ("", 0)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.callers_address = self._server.sockets[0].getsockname()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for _ in range(self._responses):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    def close(self) -> None:
+        self._server.close()
+
+
+class TestPersistentCaller:
+    """A caller that uses its connection for as long as the daemon lets it."""
+
+    async def test_connection_is_used_until_the_daemon_closes_it(self):
+        daemon, calls = FakeDaemon(responses=2), []
+        await daemon.start()
+        caller = asyncio.create_task(PersistentCaller("p1", daemon, 1, calls.append).run())
+        async with asyncio.timeout(30):
+            while len(calls) < 6:
+                await asyncio.sleep(0.01)
+        caller.cancel()
+        daemon.close()
+        assert [call.status for call in calls[:6]] == [200, 200, 0, 200, 200, 0]
+        assert {call.state for call in calls} == {DaemonState.STOPPING}
