Date a backlog's records from the last read that reached the stream's end

What callers would see: requests sent to a draining server too long, if a daemon reads a backlog of several pages after an outage.

Cause: a draining server that is read late gets what is left of Drain since the read before. With several pages the read before was the previous page, which did not reach the end of the stream and says nothing about the record's age.

Why it works: the time counts from the last read that returned everything up to the end. Pages before the last one are not followed by a pause either.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -88,13 +88,13 @@
     """Under which circumstances records were read.
 
     `outage` is the latest interruption, None if there was none.  With `is_backlog`, the records
-    may have been appended long before they were read, at any time after `previous_read_at`, a time
-    of the reader's clock in milliseconds.
+    may have been appended long before they were read, at any time after `caught_up_at`, when a
+    read last reached the end of the stream, in milliseconds of the reader's clock.
     """
 
     outage: Outage | None = None
     is_backlog: bool = False
-    previous_read_at: int = 0
+    caught_up_at: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,11 +117,9 @@
     async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
         """Return the newest record of each key.
 
-        With *new_connection*, use no connection that is already open, since such a connection may
-        be dead without notice.
-
         `next` is the end of the stream when the listing began; records appended later may be among
-        those returned.
+        those returned.  With *new_connection*, use no connection that is already open, since such
+        a connection may be dead without notice.
         """
 
     @abc.abstractmethod
@@ -195,9 +193,8 @@
         self._poll_requested = asyncio.Event()
         self._has_peers = False
         self._is_leading = False
-        self._previous_read_at = 0
+        self._caught_up_at = 0
         self.next = 0
-        self.read_at = 0
         self.caught_up = asyncio.Event()
 
     @property
@@ -224,8 +221,8 @@
         page = await self._call(self._attempt_snapshot)
         self._record_success()
         self._on_snapshot(page.records, self._context())
-        self._is_backlog = False
         self.next = page.next
+        self._record_caught_up()
         self.caught_up.set()
 
     def observe_peer_offset(self, peer_offset: int) -> None:
@@ -280,7 +277,7 @@
             self._on_record(record, self._context())
         self.next = page.next
         if page.is_last:
-            self._is_backlog = False
+            self._record_caught_up()
             if page.records and self._pause:
                 await self._wait_for_poll_now()
 
@@ -333,7 +330,7 @@
                 self._unavailable_at = call.unavailable_at
 
     def _context(self) -> ReadContext:
-        return ReadContext(self._outage, self._is_backlog, self._previous_read_at)
+        return ReadContext(self._outage, self._is_backlog, self._caught_up_at)
 
     def _record_failure(self, error: PlatformUnavailable, started_at: int) -> None:
         self._last_failure_at = started_at
@@ -342,17 +339,21 @@
             self._outage_started_at = started_at
             log.warning("log unavailable", extra={"topic": self._stream.topic, "why": str(error)})
 
+    def _record_caught_up(self) -> None:
+        self._is_backlog = False
+        self._caught_up_at = self._clock.now()
+
     def _record_success(self) -> None:
-        self._previous_read_at, self.read_at = self.read_at, self._clock.now()
+        now = self._clock.now()
         if self._unavailable_at is not None:
-            self._outage = Outage(self._unavailable_at, self.read_at)
+            self._outage = Outage(self._unavailable_at, now)
             self._unavailable_at = None
         if self._is_failing:
             self._is_failing = False
             fields = {
                 "topic": self._stream.topic,
-                "outage_ms": self.read_at - self._outage_started_at,
-                "last_failure_ms": self.read_at - self._last_failure_at,
+                "outage_ms": now - self._outage_started_at,
+                "last_failure_ms": now - self._last_failure_at,
             }
             log.warning("log available again", extra=fields)
 
--- a/src/fuchsiatrack/directory/departurebudget.py
+++ b/src/fuchsiatrack/directory/departurebudget.py
@@ -45,7 +45,7 @@
         if not context.is_backlog:
             return deadline
         delays = READ_RESPONSE_MS + SEND_DELAY_MS
-        return min(deadline, context.previous_read_at + self.drain - delays)
+        return min(deadline, context.caught_up_at + self.drain - delays)
 
     def relist_deadline(self, context: ReadContext, now: int) -> int:
         """Return until when a server that is not listed any more may be about to register again.
--- a/tests/test_server_departure.py
+++ b/tests/test_server_departure.py
@@ -66,6 +66,7 @@
         self.is_cut = False
         self.is_busy = False
         self.response_ms = 4
+        self.page_records = 1_000
         self.pooled_dead = 0
         self._generation = 0
         self._broken = asyncio.Event()
@@ -145,7 +146,8 @@
                     await self._changed.wait()
         if first < self.first:
             raise RecordsExpired(self.first)
-        return CompactedPage(tuple(self.records[first:]), len(self.records))
+        records = tuple(self.records[first : first + self.page_records])
+        return CompactedPage(records, first + len(records), len(self.records))
 
 
 class FakeAdapter:
@@ -283,6 +285,28 @@
 
         _check(scenario, ((after,) for after in range(100, 3_000, 290)))
 
+    def test_draining_owner_at_the_end_of_a_long_backlog_gets_no_requests(self):
+        """No page of the backlog starts the owner's time anew, and none waits for the pause."""
+
+        async def scenario(pages: int) -> str:
+            parts = DaemonParts(await _start_log())
+            parts.log.page_records, parts.log.response_ms = 1, 250
+            with parts.running(parts.owner_selector()):
+                await asyncio.sleep(2)
+                parts.log.is_cut = True
+                parts.consumer.mark_isolated()
+                await asyncio.sleep(1)
+                for _ in range(pages):
+                    parts.log.put("s1", b"ready")
+                parts.log.put("s0", b"draining")
+                await asyncio.sleep(4)
+                parts.log.is_cut = False
+                healed_at = parts.clock.now()
+                await asyncio.sleep(8)
+            return _lateness(parts, healed_at + CONTACT_MS)
+
+        _check(scenario, [(0,), (4,), (6,)])
+
     def test_server_that_registers_again_after_an_outage_is_kept(self):
         """Running servers register again within about 2 s after the log service comes back."""
 
