Add a failing test: a read whose response is arriving is repeated

Callers would see old configurations: reading a large record takes long while many daemons read it, and each read is repeated every 600 ms meanwhile, which slows down all of them.

--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import struct
 
 import pytest
 
@@ -16,8 +18,10 @@
 )
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
+from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.platform.logservice import LogServiceClient
 
 
 class FakeLog(CompactedLog):
@@ -108,6 +112,62 @@
         assert seen == ["s0"]
 
 
+class SlowLogServer:
+    """Lists nothing; answers a read with one record whose bytes arrive over 1.2 s."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> Endpoint:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Endpoint(*self._server.sockets[0].getsockname())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                is_read = b"/-/log-read" in head
+                self.reads += is_read
+                record = b"\x00\x00\x00\x04\x02s0v"
+                body = (
+                    struct.pack(">QQ", 1, 0) + record if is_read else b'{"items":[],"More":false,'
+                )
+                body += b"" if is_read else b'"End":0}'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+                for byte in body:
+                    await asyncio.sleep(1.2 / len(body) if is_read else 0)
+                    writer.write(bytes((byte,)))
+
+    def close(self) -> None:
+        self._server.close()
+
+
+class TestSlowResponses:
+    """A large record takes long to arrive while many daemons read it."""
+
+    async def test_read_whose_response_is_arriving_is_not_repeated(self):
+        """Each repeated read of a large record slows down all of them."""
+        server, seen = SlowLogServer(), asyncio.Event()
+        log = LogServiceClient(await server.start())
+        consumer = StreamConsumer(
+            log,
+            Stream("op"),
+            SystemClock(),
+            lambda records, context: None,
+            lambda record, context: seen.set(),
+        )
+        consumer.poll_now()
+        task = asyncio.create_task(consumer.run())
+        async with asyncio.timeout(30):
+            await seen.wait()
+        reads = server.reads
+        task.cancel()
+        await log.close()
+        server.close()
+        assert reads == 1
+
+
 class TestDirectoryAfterAnOutage:
     """Entries that expired during a log outage are kept for a while, others are not."""
 
