Don't repeat a read while its response is arriving

A read without a response was repeated after 600 ms, also when its response had begun to arrive and was merely large; and a poll was replaced 250 ms after a peer had the record.

Evidence: a record that takes 1.2 s to arrive was read 3 times, now once.

Why it works: an attempt reports when its response begins, and none is started and no poll replaced until it ends; the rest of a response has 2.5 s.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -12,7 +12,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 
-from fuchsiatrack.control.hedgedcall import ATTEMPT_INTERVAL_MS, HedgedCall
+from fuchsiatrack.control.hedgedcall import ATTEMPT_INTERVAL_MS, Attempt, HedgedCall
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.errors import FuchsiatrackError, PlatformUnavailable, RecordsExpired
 
@@ -114,21 +114,21 @@
     """
 
     @abc.abstractmethod
-    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
+    async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
         """Return the newest record of each key.
 
         `next` is the end of the stream when the listing began; records appended later may be among
-        those returned.  With *new_connection*, use no connection that is already open, since such
-        a connection may be dead without notice.
+        those returned.  *attempt* tells whether to use a new connection, since one that is already
+        open may be dead without notice, and records when a response begins to arrive.
         """
 
     @abc.abstractmethod
     async def read(
-        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+        self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
     ) -> CompactedPage:
         """Return records from offset *first* on, waiting up to *wait* milliseconds for one.
 
-        See `newest` for *new_connection*.  Raise RecordsExpired if *first* is no longer retained.
+        See `newest` for *attempt*.  Raise RecordsExpired if *first* is no longer retained.
         """
 
     @abc.abstractmethod
@@ -189,6 +189,7 @@
         self._is_backlog = False
         self._poll: asyncio.Task[CompactedPage] | None = None
         self._poll_wait = 0
+        self._read_attempt = Attempt(True, 0, False)
         self._poll_started_at = 0
         self._poll_requested = asyncio.Event()
         self._has_peers = False
@@ -237,7 +238,8 @@
             loop.call_later(LOST_POLL_TIMEOUT_MS / 1_000, self._check_poll, self._poll, peer_offset)
 
     def _check_poll(self, poll: asyncio.Task[CompactedPage], peer_offset: int) -> None:
-        if self._poll is poll and self._poll_wait and peer_offset > self.next:
+        is_waiting = self._poll_wait and not self._read_attempt.is_responding
+        if self._poll is poll and is_waiting and peer_offset > self.next:
             fields = {
                 "topic": self._stream.topic,
                 "behind": peer_offset - self.next,
@@ -286,8 +288,8 @@
         wait = self._poll_wait = 0 if self._poll_requested.is_set() else self._longest_wait()
         self._poll_requested.clear()
         self._poll_started_at = self._clock.now()
-        attempt = functools.partial(self._attempt_read, wait)
-        self._poll = asyncio.ensure_future(self._call(attempt, wait))
+        start = functools.partial(self._attempt_read, wait)
+        self._poll = asyncio.ensure_future(self._call(start, wait))
         try:
             return await self._poll
         except asyncio.CancelledError:
@@ -309,19 +311,20 @@
         except TimeoutError:
             return
 
-    async def _attempt_read(self, wait: int, is_first: bool, new_connection: bool) -> CompactedPage:
-        if not is_first:
+    async def _attempt_read(self, wait: int, attempt: Attempt) -> CompactedPage:
+        if not attempt.is_first:
             # Without a wait, so that the recovery of a failing service is detected at once.
             wait = self._poll_wait = 0
-        return await self._log.read(self._stream, self.next, wait, new_connection=new_connection)
+        self._read_attempt = attempt
+        return await self._log.read(self._stream, self.next, wait, attempt)
 
-    async def _attempt_snapshot(self, is_first: bool, new_connection: bool) -> CompactedPage:
-        return await self._log.newest(self._stream, new_connection=new_connection)
+    async def _attempt_snapshot(self, attempt: Attempt) -> CompactedPage:
+        return await self._log.newest(self._stream, attempt)
 
     async def _call(
-        self, attempt: Callable[[bool, bool], Awaitable[CompactedPage]], wait: int = 0
+        self, start: Callable[[Attempt], Awaitable[CompactedPage]], wait: int = 0
     ) -> CompactedPage:
-        call = HedgedCall(attempt, self._clock, self._record_failure, self._attempt_interval)
+        call = HedgedCall(start, self._clock, self._record_failure, self._attempt_interval)
         try:
             return await call.run(wait)
         finally:
--- a/src/fuchsiatrack/control/hedgedcall.py
+++ b/src/fuchsiatrack/control/hedgedcall.py
@@ -17,33 +17,44 @@
 ATTEMPT_INTERVAL_MS = 600
 
 
-@dataclasses.dataclass(frozen=True)
-class _Attempt:
+@dataclasses.dataclass
+class Attempt:
+    """One attempt of a call, which started at `started_at`, a time in milliseconds.
+
+    With `new_connection` it has to use a new connection, because an earlier attempt got no
+    response.
+    """
+
+    is_first: bool
     started_at: int
     new_connection: bool
+    is_responding: bool = False
+
+    def record_response_start(self) -> None:
+        """Record that the beginning of a response has arrived."""
+        self.is_responding = True
 
 
 class HedgedCall(Generic[T]):
     """One call, attempted until an attempt returns.
 
-    *attempt* starts one attempt.  It receives whether this is the first one, and whether to use a
-    new connection because an earlier attempt got no response; it raises PlatformUnavailable if the
-    attempt fails, at the latest after its own timeout.  *on_failure* receives that error and the
-    time when the attempt started.  Attempts start *interval* milliseconds apart.
+    *start* starts an attempt, and raises PlatformUnavailable if it fails, at the latest after its
+    own timeout.  *on_failure* receives that error and the time when the attempt started.  Attempts
+    start *interval* milliseconds apart, but none while the response to another one is arriving.
     """
 
     def __init__(
         self,
-        attempt: Callable[[bool, bool], Awaitable[T]],
+        start: Callable[[Attempt], Awaitable[T]],
         clock: Clock,
         on_failure: Callable[[PlatformUnavailable, int], None],
         interval: int = ATTEMPT_INTERVAL_MS,
     ) -> None:
-        self._attempt = attempt
+        self._start_attempt = start
         self._clock = clock
         self._on_failure = on_failure
         self._interval = interval
-        self._open: dict[asyncio.Future[T], _Attempt] = {}
+        self._open: dict[asyncio.Future[T], Attempt] = {}
         self._attempt_count = 0
         self._has_lost_connection = False
         self._unavailable_at: int | None = None
@@ -80,7 +91,9 @@
                     self._record_failure(task.exception(), attempt)
                     next_start = min(next_start, self._clock.now() + self._interval)
                 if self._clock.now() >= next_start:
-                    next_start = self._start() + self._interval
+                    is_responding = any(item.is_responding for item in self._open.values())
+                    started_at = self._clock.now() if is_responding else self._start()
+                    next_start = started_at + self._interval
         finally:
             for task in self._open:
                 task.cancel()
@@ -89,9 +102,10 @@
         """Start an attempt and return the current time."""
         now = self._clock.now()
         new_connection = self._has_lost_connection or bool(self._open)
-        task = asyncio.ensure_future(self._attempt(not self._attempt_count, new_connection))
+        attempt = Attempt(not self._attempt_count, now, new_connection)
+        task = asyncio.ensure_future(self._start_attempt(attempt))
         task.add_done_callback(_retrieve_exception)
-        self._open[task] = _Attempt(now, new_connection)
+        self._open[task] = attempt
         self._attempt_count += 1
         return now
 
@@ -107,20 +121,20 @@
         else:
             await self._clock.sleep(remaining)
 
-    def _record_failure(self, error: BaseException, attempt: _Attempt) -> None:
+    def _record_failure(self, error: BaseException, attempt: Attempt) -> None:
         is_response = isinstance(error, PlatformBusy)
         if is_response or attempt.new_connection:
             self._record_unavailable(attempt)
         self._has_lost_connection |= not is_response
         self._on_failure(error, attempt.started_at)
 
-    def _record_overtaken(self, winner: _Attempt) -> None:
+    def _record_overtaken(self, winner: Attempt) -> None:
         """Count open attempts that started before the one that returned as failed."""
         for attempt in self._open.values():
             if attempt.new_connection and attempt.started_at < winner.started_at:
                 self._record_unavailable(attempt)
 
-    def _record_unavailable(self, attempt: _Attempt) -> None:
+    def _record_unavailable(self, attempt: Attempt) -> None:
         self._unavailable_at = max(attempt.started_at, self._unavailable_at or 0)
 
 
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -22,6 +22,7 @@
     Stream,
     Writer,
 )
+from fuchsiatrack.control.hedgedcall import Attempt
 from fuchsiatrack.gateway.serverconnection import KeepaliveSettings, set_keepalive
 from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.errors import (
@@ -38,6 +39,8 @@
 APPEND_TIMEOUT_MS = 1_000
 # Time for a response, in addition to the wait that a read asks for.
 READ_TIMEOUT_MS = 1_500
+# Time for the rest of a response whose beginning has arrived.
+BODY_TIMEOUT_MS = 2_500
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_S = 10.0
 # A poll on a dead connection ends within 2 s, so that reads catch up within the time after which
@@ -58,12 +61,12 @@
         self._url = f"http://{address}"
         self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
-    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
+    async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
         query = {"Topic": COMPACTED_TOPIC_PREFIX + stream.topic, "part": str(stream.part)}
         records: list[CompactedRecord] = []
         end: int | None = None
         for _ in range(MAX_LISTING_PAGES):
-            status, body = await self._get("/-/log-newest", query, READ_TIMEOUT_MS, new_connection)
+            status, body = await self._get("/-/log-newest", query, READ_TIMEOUT_MS, attempt)
             if status == 404:
                 # Treated as the end of the listing.
                 return CompactedPage(tuple(records), end or 0)
@@ -79,7 +82,7 @@
         raise PlatformUnavailable(f"listing has more than {MAX_LISTING_PAGES} pages")
 
     async def read(
-        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+        self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
     ) -> CompactedPage:
         query = {
             "Topic": COMPACTED_TOPIC_PREFIX + stream.topic,
@@ -87,7 +90,7 @@
             "From": str(first),
             "WaitMs": str(wait),
         }
-        status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS, new_connection)
+        status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS, attempt)
         if status == 404:
             # Treated as an empty page.  Wait here, since the log service did not.
             await asyncio.sleep(min(wait, READ_TIMEOUT_MS) / 1_000)
@@ -133,9 +136,9 @@
             await session.close()
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout: int, new_connection: bool
+        self, path: str, query: dict[str, str], timeout: int, attempt: Attempt | None
     ) -> tuple[int, bytes]:
-        return await self._call("GET", path, query, timeout, None, new_connection)
+        return await self._call("GET", path, query, timeout, None, attempt)
 
     async def _call(
         self,
@@ -144,7 +147,7 @@
         query: dict[str, str],
         timeout: int,
         data: bytes | None,
-        new_connection: bool = False,
+        attempt: Attempt | None = None,
     ) -> tuple[int, bytes]:
         """Return status and body; raise PlatformUnavailable unless a complete response arrives."""
         # aiohttp's total timeout loses a cancellation that arrives at the moment when it expires.
@@ -152,11 +155,14 @@
         try:
             async with (
                 asyncio.timeout(timeout / 1_000),
-                self._session(new_connection).request(
+                self._session(attempt is not None and attempt.new_connection).request(
                     method, self._url + path, params=query, data=data, timeout=client_timeout
                 ) as response,
             ):
-                return response.status, await response.read()
+                if attempt is not None:
+                    attempt.record_response_start()
+                async with asyncio.timeout(BODY_TIMEOUT_MS / 1_000):
+                    return response.status, await response.read()
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
 
--- a/tests/test_hedgedcall.py
+++ b/tests/test_hedgedcall.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fuchsiatrack.control.hedgedcall import ATTEMPT_INTERVAL_MS, HedgedCall
+from fuchsiatrack.control.hedgedcall import ATTEMPT_INTERVAL_MS, Attempt, HedgedCall
 from fuchsiatrack.kernel.errors import PlatformBusy, PlatformUnavailable, RecordsExpired
 from tests.fakes import NodeClock, run_virtual
 
@@ -28,8 +28,8 @@
         self._available_at = available_at
         self._refuses = refuses
 
-    async def attempt(self, is_first: bool, new_connection: bool) -> str:
-        self.attempts.append((self.clock.now(), is_first, new_connection))
+    async def attempt(self, attempt: Attempt) -> str:
+        self.attempts.append((self.clock.now(), attempt.is_first, attempt.new_connection))
         if self.clock.now() >= self._available_at:
             await asyncio.sleep(0.004)
             return f"result {len(self.attempts)}"
@@ -113,9 +113,28 @@
 
         run_virtual(scenario())
 
+    def test_attempt_whose_response_is_arriving_is_not_repeated(self):
+        """Repeating the read of a large record slows every read down, its own included."""
+
+        async def scenario():
+            clock, attempts = NodeClock(), []
+
+            async def respond_slowly(attempt: Attempt) -> str:
+                attempts.append(attempt)
+                await asyncio.sleep(0.1)
+                attempt.record_response_start()
+                await asyncio.sleep(3 * ATTEMPT_INTERVAL_MS / 1_000)
+                return "large record"
+
+            call = HedgedCall(respond_slowly, clock, lambda *a: None)
+            assert await call.run() == "large record"
+            assert len(attempts) == 1
+
+        run_virtual(scenario())
+
     def test_other_errors_end_the_call(self):
         async def scenario():
-            async def attempt(is_first: bool, new_connection: bool) -> None:
+            async def attempt(attempt: Attempt) -> None:
                 raise RecordsExpired(7)
 
             with pytest.raises(RecordsExpired):
--- a/tests/test_server_departure.py
+++ b/tests/test_server_departure.py
@@ -21,6 +21,7 @@
     Stream,
     StreamConsumer,
 )
+from fuchsiatrack.control.hedgedcall import Attempt
 from fuchsiatrack.directory.departurebudget import (
     READ_RESPONSE_MS,
     SEND_DELAY_MS,
@@ -86,13 +87,13 @@
         self._broken.set()
         self._broken = asyncio.Event()
 
-    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
-        return await self._respond(self._newest, 0, new_connection)
+    async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
+        return await self._respond(self._newest, 0, attempt.new_connection)
 
     async def read(
-        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+        self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
     ) -> CompactedPage:
-        return await self._respond(lambda: self._read(first, wait), wait, new_connection)
+        return await self._respond(lambda: self._read(first, wait), wait, attempt.new_connection)
 
     async def append(self, stream, records, *, at=None, writer=None) -> int:
         raise NotImplementedError
--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -16,6 +16,7 @@
     Stream,
     StreamConsumer,
 )
+from fuchsiatrack.control.hedgedcall import Attempt
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.gateway.settings import Endpoint
@@ -37,11 +38,11 @@
         self.is_down = False
         self._appended = asyncio.Condition()
 
-    async def newest(self, stream: Stream, *, new_connection: bool = False) -> CompactedPage:
+    async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
         return CompactedPage(tuple(self.records), len(self.records))
 
     async def read(
-        self, stream: Stream, first: int, wait: int, *, new_connection: bool = False
+        self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
     ) -> CompactedPage:
         self.reads += 1
         if self.is_down:
