Don't renew a range that has moved while other ranges were renewed

Cause: a renewal of a server's grants lists its ranges once and then sends one grant after the other. A range that had never been granted has no recorded expiry, so a move away from its owner needs no release; when such a move ended between the list and the send, the old owner got the range under the old fence, for up to 4,000 ms, after the new owner's grant.

Change: each range is checked against both maps, and the server's entry looked up, right before its grant is sent.

--- a/src/fuchsiatrack/ranges/grantrenewer.py
+++ b/src/fuchsiatrack/ranges/grantrenewer.py
@@ -227,12 +227,13 @@
 
     async def _grant_ranges(self, incarnation: ServerIncarnation, duration: int) -> bool:
         """Grant *incarnation* the ranges that it owns, and return whether it responded."""
-        entry = self._find_entry(incarnation)
-        if entry is None:
-            return False
         for item in self._renewable_ranges(incarnation):
-            if not self._leadership.has_valid_lease():
+            entry = self._find_entry(incarnation)
+            if entry is None or not self._leadership.has_valid_lease():
                 return False
+            if not self._is_renewable(item):
+                # It has changed since the first grant was sent.
+                continue
             try:
                 await self._grant(entry, item, duration)
             except (OutcomeUnknown, NotDelivered) as error:
@@ -256,6 +257,15 @@
             if item.overlaps(other.first, other.last)
         ]
 
+    def _is_renewable(self, item: OwnedRange) -> bool:
+        """Return whether both maps still give all keys of *item* to its owner, under its fence."""
+        current = self._view.current.find(item.first)
+        pending = self._view.pending.find(item.first)
+        return all(
+            found.owner == item.owner and found.last >= item.last and not found.is_moving
+            for found in (current, pending)
+        ) and (current.fence == item.fence)
+
     async def _grant(self, entry: ServerEntry, item: OwnedRange, duration: int) -> None:
         grant = RangeGrant(item.first, item.last, item.fence, duration, item.handover)
         latest = self._clock.now() + GRANT_TIMEOUT_MS
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 import pytest
 from hypothesis import given, settings
@@ -23,6 +24,7 @@
     GrantRefused,
     NotDelivered,
     OutcomeUnknown,
+    RangeGrant,
     RangeGrantClient,
 )
 from fuchsiatrack.ranges.grantexpiry import GrantExpiryTracker
@@ -498,12 +500,15 @@
         self.unresponsive: set[str] = set()
         self.refusing: set[str] = set()
         self.requests: list[tuple] = []
+        self.on_grant: Callable[[RangeGrant], None] | None = None
 
     async def grant(self, server, grant, timeout):
         address = server.address
         self.requests.append(
             ("grant", address, grant.first, grant.last, grant.fence, grant.duration)
         )
+        if self.on_grant is not None:
+            self.on_grant(grant)
         if address in self.unreachable:
             raise NotDelivered(address)
         if address in self.refusing:
@@ -764,6 +769,33 @@
         grant_client = await self._grant_once(current, current.merge_neighbours())
         assert all(len(grant_client.holders(key)) == 1 for key in range(0, LAST_KEY, 99))
 
+    async def test_range_that_moves_during_the_renewals_is_not_renewed(self):
+        """Guards against a grant under an old fence after the new owner's grant.
+
+        A range that was never granted to its owner moves without a release, while the renewals of
+        the owner's other ranges are in progress.
+        """
+        whole = divide_evenly(INCARNATIONS, 1)
+        boundary = whole.ranges[0].last
+        parts = (
+            OwnedRange(0, 99, INCARNATIONS[0], 2),
+            OwnedRange(100, boundary, INCARNATIONS[0], 3),
+        )
+        current = OwnershipMap((*parts, *whole.ranges[1:]), 3)
+        moving = current.start_move(100, boundary, INCARNATIONS[1])
+        renewer, grant_client, _ = self._create(current, current)
+
+        def finish_move(grant: RangeGrant) -> None:
+            if grant.first == 0:
+                moved = moving.finish_move(moving.find(100), "")
+                renewer._view.current = renewer._view.pending = moved
+
+        grant_client.on_grant = finish_move
+        await asyncio.sleep(0.05)
+        renewer.close()
+        to_first_server = [request for request in grant_client.requests if request[1] == "s0:1"]
+        assert [request[2:5] for request in to_first_server] == [(0, 99, 2)]
+
     async def test_extended_grants_are_sent_at_once(self):
         current = divide_evenly(INCARNATIONS, 1)
         renewer, grant_client, leadership = self._create(current, current)
