Maintain grants while a plan waits for the log

Cause: the controller's step waited for the save of a plan before it looked at the lease and the servers.

--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -96,27 +96,44 @@
 
     async def run(self) -> None:
         """Control the service until the term ends or the task is cancelled."""
+        plans = asyncio.create_task(self._run_plans())
         try:
             while self._leadership.holds_term:
-                await self._step()
+                if plans.done():
+                    plans.result()
+                self._maintain_grants()
                 await self._clock.sleep(STEP_PERIOD_MS)
         except NotLeading as error:
             log.info("controller stopped", extra={"service": self._service, "why": str(error)})
         finally:
+            plans.cancel()
             self._renewer.close()
             for task in self._move_tasks.values():
                 task.cancel()
 
-    async def _step(self) -> None:
+    def _maintain_grants(self) -> None:
         if not self._leadership.has_valid_lease():
             return
         self._renewer.check_servers_and_lease()
+        self._renewer.update_renewal_tasks()
+        self._update_move_tasks()
+
+    async def _run_plans(self) -> None:
+        """Assign keys and start moves until the term ends.
+
+        A task of its own: it waits for the log, and grants must be maintained meanwhile.
+        """
+        while self._leadership.holds_term:
+            if self._leadership.has_valid_lease():
+                await self._plan_once()
+            await self._clock.sleep(STEP_PERIOD_MS)
+
+    async def _plan_once(self) -> None:
         if not self._map.ranges:
             await self._assign_first()
         elif self._is_plan_due():
             await self._start_moves()
-        self._renewer.update_renewal_tasks()
-        self._update_move_tasks()
+        self._maintain_grants()
 
     # Servers
 
