Start no controller again in a term in which one has failed

Cause: the failed controller's own task stopped all controllers, itself included, so that its resignation was cancelled at its first wait; the next check, 50 ms later, started control again with the lease still valid, and grants sent then were missing from the notice of the term's end.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -80,6 +80,8 @@
         self._controllers: dict[str, RangeController] = {}
         self._controller_tasks: dict[str, asyncio.Task] = {}
         self._controlled_term = 0
+        # The latest term in which a controller failed.
+        self._failed_term = 0
         self._is_resigning = False
         self._membership = MembershipTracker(clock)
         self._key_counts: dict[str, collections.Counter[int]] = {}
@@ -182,9 +184,15 @@
     # Range controllers
 
     async def _run_controllers(self) -> None:
-        """Run one controller for each keyed service while this daemon leads."""
+        """Run one controller for each keyed service while this daemon leads.
+
+        A term in which a controller failed is resigned.
+        """
         while True:
-            if self.leadership.has_valid_lease():
+            self._check_controllers()
+            if self.leadership.holds_term and self._failed_term == self.leadership.current.number:
+                await self.leadership.resign(self._extended_grants_remaining())
+            elif self.leadership.has_valid_lease():
                 if not self._is_resigning:
                     self._start_controllers()
             elif not self.leadership.holds_term:
@@ -200,17 +208,19 @@
             if service not in self._controller_tasks:
                 controller = self._create_controller(service)
                 self._controllers[service] = controller
-                self._controller_tasks[service] = asyncio.create_task(
-                    self._run_controller(controller)
+                self._controller_tasks[service] = asyncio.create_task(controller.run())
+
+    def _check_controllers(self) -> None:
+        """Stop all controllers if one has failed."""
+        for service, task in self._controller_tasks.items():
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                fields = {"service": service, "term": self._controlled_term}
+                log.error(
+                    "controller failed; resigning the term", extra=fields, exc_info=task.exception()
                 )
-
-    async def _run_controller(self, controller: RangeController) -> None:
-        try:
-            await controller.run()
-        except Exception:
-            log.exception("controller failed; resigning the term")
-            self._stop_controllers()
-            await self.leadership.resign(self._extended_grants_remaining())
+                self._failed_term = self._controlled_term
+                self._stop_controllers()
+                return
 
     def _stop_controllers(self) -> None:
         if self._controlled_term:
