Wait for the third read in the test of few reads, and for no fourth

The old check looked 400 ms after the first record by the clock and failed 1 of 10 runs beside other tests. The new one is stricter: it waits for the third read, which must have returned all records, and then sees no fourth for 600 ms.

--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -45,6 +45,8 @@
         self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
     ) -> CompactedPage:
         self.reads += 1
+        async with self._appended:
+            self._appended.notify_all()
         if self.is_down:
             raise PlatformUnavailable("down")
         if self.loses_polls and wait:
@@ -54,6 +56,11 @@
                 await self._appended.wait_for(lambda: len(self.records) > first)
         return CompactedPage(tuple(self.records[first:]), len(self.records))
 
+    async def wait_for_reads(self, count: int) -> None:
+        async with asyncio.timeout(10):
+            async with self._appended:
+                await self._appended.wait_for(lambda: self.reads >= count)
+
     async def append(self, stream, records, *, at=None, writer=None) -> int:
         for key, value in records:
             self.records.append(CompactedRecord(key, value, len(self.records)))
@@ -88,9 +95,10 @@
             await log.append(Stream("servers"), [(f"s{index}", b"")])
             consumer.observe_peer_offset(index + 1)
             await asyncio.sleep(0.01)
-        await asyncio.sleep(0.3)
-        assert len(seen) == 10
         # The poll that returned the first record, the one after the pause, and the open one.
+        await log.wait_for_reads(3)
+        assert len(seen) == 10
+        await asyncio.sleep(0.6)
         assert log.reads == 3
 
     async def test_peer_that_is_briefly_ahead_causes_no_read(self, parts):
