--- a/src/fuchsiatrack/gateway/adapter.py
+++ b/src/fuchsiatrack/gateway/adapter.py
@@ -10,6 +10,7 @@
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import HeaderCodec
 from fuchsiatrack.gateway.settings import GatewaySettings
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter
 from fuchsiatrack.model.routes import RouteTable
 from fuchsiatrack.ranges.grantclient import RangeGrantClient
 
@@ -37,11 +38,13 @@
         """Return the settings in the file *path*; raise SettingsError if they are unusable."""
 
     @abc.abstractmethod
-    def open_log(self, settings: GatewaySettings) -> CompactedLog:
+    def open_log(self, settings: GatewaySettings, traffic: TrafficCounter) -> CompactedLog:
         """Return a client of the log service."""
 
     @abc.abstractmethod
-    def open_grant_client(self, connections: ConnectionPool) -> RangeGrantClient:
+    def open_grant_client(
+        self, connections: ConnectionPool, traffic: TrafficCounter
+    ) -> RangeGrantClient:
         """Return a client that grants key ranges to servers and releases them.
 
         It uses connections from *connections*.
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -29,6 +29,7 @@
 from fuchsiatrack.gateway.sources import ConfigurationHolder, DirectoryUpdater
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter
 from fuchsiatrack.model.routes import RoutedService
 
 # How long a stopping daemon keeps accepting requests: the load balancer polls readiness once a
@@ -63,17 +64,18 @@
         self._stats = ServerStatsRegistry(self._clock)
         self._queues = AdmissionQueues(self._clock)
         self._budgets: dict[str, SharedRetryBudget] = {}
-        self._log = adapter.open_log(settings)
+        self._metrics = TextMetrics()
+        self._traffic = TrafficCounter(self._metrics, settings.failure_domain)
+        self._log = adapter.open_log(settings, self._traffic)
         self._configuration = ConfigurationHolder(adapter)
         self._departure_budget = DepartureBudget(settings.drain, settings.contact)
         self._directory = ServerDirectory(self._clock, self._departure_budget)
-        self._metrics = TextMetrics()
         self._consumers = self._create_consumers()
         self._range_service = RangeService(
             settings,
             secrets.token_hex(6),
             self._log,
-            adapter.open_grant_client(self._control_connections),
+            adapter.open_grant_client(self._control_connections, self._traffic),
             self._directory,
             self._stats,
             self._clock,
@@ -81,6 +83,7 @@
             self._can_lead,
             self._keyed_services,
             self._consumers,
+            self._traffic,
         )
         self._selectors = self._create_selectors()
         self._listener = CallerListener(self._create_dependencies(), self._metrics)
@@ -197,6 +200,7 @@
             queues=self._queues,
             directory=self._directory,
             metrics=self._metrics,
+            traffic=self._traffic,
             table=lambda: self._configuration.current,
             is_ready=lambda: self.is_ready,
             find_selector=self._find_selector,
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -26,6 +26,7 @@
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.metrics import Metrics
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
@@ -69,6 +70,7 @@
     queues: AdmissionQueues
     directory: ServerDirectory
     metrics: Metrics
+    traffic: TrafficCounter
     table: Callable[[], RouteTable | None]
     is_ready: Callable[[], bool]
     find_selector: Callable[[RoutedService], ServerSelector]
@@ -341,6 +343,13 @@
             if error.verdict is Verdict.NOT_RUN:
                 self._may_have_run = may_have_run_before
             raise
+        finally:
+            self._dependencies.traffic.add(
+                TrafficPurpose.REQUEST,
+                entry.failure_domain,
+                connection.bytes_sent,
+                connection.bytes_received,
+            )
         response_metadata = self._dependencies.header_codec.parse_response(
             response.status, response.headers
         )
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -16,6 +16,7 @@
 from fuchsiatrack.gateway.settings import GatewaySettings
 from fuchsiatrack.kernel import registry
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.peers.loadreports import (
     REPORT_PERIOD_MS,
     LoadReport,
@@ -69,8 +70,10 @@
         can_lead: Callable[[], bool],
         keyed_services: Callable[[], tuple[str, ...]],
         consumers: Mapping[str, StreamConsumer],
+        traffic: TrafficCounter,
     ) -> None:
         self._settings = settings
+        self._traffic = traffic
         self._incarnation = incarnation
         self._grant_client = grant_client
         self._directory = directory
@@ -86,7 +89,11 @@
         self._membership = MembershipTracker(clock)
         self._key_counts: dict[str, collections.Counter[int]] = {}
         self._protocol = ReportProtocol(
-            self._handle_report, self._handle_ack, self._handle_update, self._handle_term_end_notice
+            self._handle_report,
+            self._handle_ack,
+            self._handle_update,
+            self._handle_term_end_notice,
+            self._count_datagram,
         )
         self._term_end_notice: TermEndNotice | None = None
         self._term_ended_at = 0
@@ -307,7 +314,12 @@
         previous_address, self._last_notified_term = self._last_report_address, term.number
         self._last_report_address = term.report_address
         if previous_address and previous_address != term.report_address:
-            report = LoadReport(self._settings.vm, self._incarnation, term.number)
+            report = LoadReport(
+                self._settings.vm,
+                self._incarnation,
+                term.number,
+                failure_domain=self._settings.failure_domain,
+            )
             self._protocol.send(report, previous_address)
 
     def _create_reports(self, term: int) -> list[LoadReport]:
@@ -317,21 +329,30 @@
             for name, (samples, mean) in self._stats.pop_service_times().items()
         }
         vm, incarnation = self._settings.vm, self._incarnation
+        domain = self._settings.failure_domain
         reports = []
         for service in self._keyed_services():
             listed = {entry.id for entry in self._directory.of_service(service)}
             service_times = {name: row for name, row in times_by_server.items() if name in listed}
             keys = dict(counts.get(service, {}))
             reports.append(
-                LoadReport(vm, incarnation, term, service, keys, service_times, self._offsets())
+                LoadReport(
+                    vm, incarnation, term, service, keys, service_times, self._offsets(), domain
+                )
             )
-        return reports or [LoadReport(vm, incarnation, term, offsets=self._offsets())]
+        empty = LoadReport(vm, incarnation, term, offsets=self._offsets(), failure_domain=domain)
+        return reports or [empty]
 
     def _offsets(self) -> dict[str, int]:
         """Return the next offset of each stream, except ownership, which arrives by datagram."""
         consumers = self._consumers.items()
         return {name: item.next for name, item in consumers if item is not self._consumer}
 
+    def _count_datagram(
+        self, purpose: TrafficPurpose, address: tuple[str, int], sent: int, received: int
+    ) -> None:
+        self._traffic.add(purpose, self._membership.failure_domain(address), sent, received)
+
     def _handle_report(
         self, report: LoadReport, address: tuple[str, int] | None
     ) -> ReportAck | TermEndNotice | None:
@@ -345,7 +366,7 @@
             return None
         self._membership.record_report(report.vm)
         if address is not None:
-            self._membership.record_address(report.vm, address)
+            self._membership.record_address(report.vm, address, report.failure_domain)
             self._observe_peer_offsets(report.offsets)
         controller = self._controllers.get(report.service)
         if controller is not None:
--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -81,7 +81,10 @@
 
 
 class ServerConnection(BaseProtocol, ResponseReceiver):
-    """One connection to a backend server."""
+    """One connection to a backend server.
+
+    `bytes_sent` and `bytes_received` count since the connection was opened or last reused.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, memory: ResponseMemory) -> None:
         super().__init__(loop)
@@ -92,6 +95,8 @@
         self._error: Exception | None = None
         self._must_close = False
         self.is_reused = False
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self.idle_since = 0
         self.idle_timeout = MAX_IDLE_MS
 
@@ -172,9 +177,9 @@
     async def _write_request(self, request: OutgoingRequest) -> asyncio.Task | None:
         """Write the request; return the task that writes a chunked body, if any."""
         if isinstance(request.body, bytes):
-            self.transport.write(_encode_head(request, len(request.body)) + request.body)
+            self._write(_encode_head(request, len(request.body)) + request.body)
             return None
-        self.transport.write(_encode_head(request, None))
+        self._write(_encode_head(request, None))
         return asyncio.create_task(self._write_chunks(request.body))
 
     async def _write_chunks(self, body: AsyncIterator[bytes]) -> None:
@@ -182,15 +187,19 @@
             async for chunk in body:
                 if self.transport is None:
                     return
-                self.transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+                self._write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
                 await self._wait_until_writable()
             if self.transport is not None:
-                self.transport.write(b"0\r\n\r\n")
+                self._write(b"0\r\n\r\n")
         except Exception as error:
             # Reading from the caller failed; the server can't finish without the rest of the body.
             self._fail(error)
             self.abort()
 
+    def _write(self, data: bytes) -> None:
+        self.bytes_sent += len(data)
+        self.transport.write(data)
+
     async def _wait_until_writable(self) -> None:
         while self.writing_paused and self.transport is not None:
             if self._drain_waiter is None:
@@ -200,6 +209,7 @@
     # asyncio protocol
 
     def data_received(self, data: bytes) -> None:
+        self.bytes_received += len(data)
         if self._parser is None or self._head is None:
             if data:
                 # Unsolicited data.
@@ -263,6 +273,7 @@
     def prepare_reuse(self) -> None:
         """Prepare the connection for another request."""
         self.is_reused = True
+        self.bytes_sent = self.bytes_received = 0
         self._payload = None
 
 
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.trafficcounter import TrafficPurpose
 
 # Time between reports; the leader counts as unresponsive after three lost reports.
 REPORT_PERIOD_MS = 300
@@ -42,6 +43,7 @@
 
     `keys` has the requests by key, an integer from 0 to 65535, `servers` the response times by
     server id, and `offsets` the offset up to which the daemon has read each stream.
+    `failure_domain` is that of the daemon, empty in reports of daemons before December 2026.
     """
 
     vm: str
@@ -51,6 +53,7 @@
     keys: Mapping[int, int] = dataclasses.field(default_factory=dict)
     servers: Mapping[str, ServiceTimeStats] = dataclasses.field(default_factory=dict)
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    failure_domain: str = ""
 
     def encode(self) -> bytes:
         """Return the report as JSON."""
@@ -62,6 +65,7 @@
             "keys": list(self.keys.items()),
             "servers": [[name, row.samples, row.mean] for name, row in self.servers.items()],
             "offsets": dict(self.offsets),
+            "domain": self.failure_domain,
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -80,6 +84,7 @@
                 keys,
                 servers,
                 _decode_offsets(body["offsets"]),
+                str(body.get("domain", "")),
             )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not a load report: {error!r}") from error
@@ -190,6 +195,7 @@
         self._clock = clock
         self._last_report_at: dict[str, int] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
+        self._failure_domains: dict[tuple[str, int], str] = {}
 
     @property
     def addresses(self) -> tuple[tuple[str, int], ...]:
@@ -201,9 +207,14 @@
             if self._last_report_at.get(vm, 0) >= cutoff
         )
 
-    def record_address(self, vm: str, address: tuple[str, int]) -> None:
-        """Record the IP address and port from which *vm* sent a report."""
+    def record_address(self, vm: str, address: tuple[str, int], failure_domain: str = "") -> None:
+        """Record the IP address and port from which *vm*, in *failure_domain*, sent a report."""
         self._addresses[vm] = address
+        self._failure_domains[address] = failure_domain
+
+    def failure_domain(self, address: tuple[str, int]) -> str:
+        """Return the failure domain of the daemon at *address*, empty if it isn't known."""
+        return self._failure_domains.get(address, "")
 
     @property
     def count(self) -> int:
@@ -222,8 +233,9 @@
 
     *on_report* returns the datagram to respond with: a `TermEndNotice` if a term that this daemon
     led has ended and the report's term is later, a `ReportAck` if this daemon leads the report's
-    term, and else None.  The other callbacks receive what the leader, or the leader of an ended
-    term, sends.
+    term, and else None.  *on_traffic* receives the purpose, the peer's address and the bytes sent
+    and received of each datagram.  The other callbacks receive what the leader, or the leader of an
+    ended term, sends.
     """
 
     def __init__(
@@ -232,7 +244,9 @@
         on_ack: Callable[[ReportAck], None],
         on_update: Callable[[OwnershipUpdate], None],
         on_term_end_notice: Callable[[TermEndNotice], None],
+        on_traffic: Callable[[TrafficPurpose, tuple[str, int], int, int], None],
     ) -> None:
+        self._on_traffic = on_traffic
         self._on_report = on_report
         self._on_ack = on_ack
         self._on_update = on_update
@@ -249,20 +263,24 @@
             log.warning("malformed datagram", extra={"from": addr[0], "why": str(error)})
             return
         if response and self._transport:
-            self._transport.sendto(response.encode(), addr)
+            self._send_datagram(TrafficPurpose.ACKNOWLEDGEMENT, response.encode(), addr)
 
     def _dispatch(self, data: bytes, address: tuple[str, int]) -> ReportAck | TermEndNotice | None:
         """Pass a datagram to its callback; the first JSON key identifies its type."""
         if data.startswith(b'{"update_term"'):
+            self._on_traffic(TrafficPurpose.OWNERSHIP, address, 0, len(data))
             self._on_update(OwnershipUpdate.decode(data))
             return None
         if data.startswith(b'{"ended_term"'):
             self._on_term_end_notice(TermEndNotice.decode(data))
             return None
         if data.startswith(b'{"leader_term"'):
+            self._on_traffic(TrafficPurpose.ACKNOWLEDGEMENT, address, 0, len(data))
             self._on_ack(ReportAck.decode(data))
             return None
-        return self._on_report(LoadReport.decode(data), address)
+        report = LoadReport.decode(data)
+        self._on_traffic(TrafficPurpose.LOAD_REPORT, address, 0, len(data))
+        return self._on_report(report, address)
 
     def error_received(self, exc: Exception) -> None:
         log.info("datagram send failed", extra={"why": repr(exc)})
@@ -278,7 +296,7 @@
             return
         host, _, port = address.rpartition(":")
         for part in _split(report):
-            self._transport.sendto(part.encode(), (host, int(port)))
+            self._send_datagram(TrafficPurpose.LOAD_REPORT, part.encode(), (host, int(port)))
 
     def broadcast_update(
         self, update: OwnershipUpdate, addresses: Iterable[tuple[str, int]]
@@ -289,20 +307,28 @@
         """
         data = update.encode()
         if len(data) <= MAX_DATAGRAM_BYTES:
-            self._send_to_all(data, addresses)
+            self._send_to_all(TrafficPurpose.OWNERSHIP, data, addresses)
 
     def broadcast_ack(self, ack: ReportAck, addresses: Iterable[tuple[str, int]]) -> None:
         """Send *ack* to each of *addresses*, without a report to acknowledge.
 
         A leader that resigns reports in it that its renewals fail.
         """
-        self._send_to_all(ack.encode(), addresses)
+        self._send_to_all(TrafficPurpose.ACKNOWLEDGEMENT, ack.encode(), addresses)
 
-    def _send_to_all(self, data: bytes, addresses: Iterable[tuple[str, int]]) -> None:
+    def _send_to_all(
+        self, purpose: TrafficPurpose, data: bytes, addresses: Iterable[tuple[str, int]]
+    ) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         for address in addresses:
-            self._transport.sendto(data, address)
+            self._send_datagram(purpose, data, address)
+
+    def _send_datagram(
+        self, purpose: TrafficPurpose, data: bytes, address: tuple[str, int]
+    ) -> None:
+        self._transport.sendto(data, address)
+        self._on_traffic(purpose, address, len(data), 0)
 
 
 def _decode_offsets(body: dict) -> dict[str, int]:
--- a/src/fuchsiatrack/platform/adapter.py
+++ b/src/fuchsiatrack/platform/adapter.py
@@ -11,6 +11,7 @@
 from fuchsiatrack.gateway.headers import HeaderCodec
 from fuchsiatrack.gateway.settings import GatewaySettings
 from fuchsiatrack.kernel.registry import register
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter
 from fuchsiatrack.model.routes import RouteTable
 from fuchsiatrack.platform import decoders
 from fuchsiatrack.platform.grantclient import HttpRangeGrantClient
@@ -47,11 +48,13 @@
     def load_settings(self, path: pathlib.Path) -> GatewaySettings:
         return load_settings(path)
 
-    def open_log(self, settings: GatewaySettings) -> CompactedLog:
-        return LogServiceClient(settings.log_service)
+    def open_log(self, settings: GatewaySettings, traffic: TrafficCounter) -> CompactedLog:
+        return LogServiceClient(settings.log_service, traffic)
 
-    def open_grant_client(self, connections: ConnectionPool) -> RangeGrantClient:
-        return HttpRangeGrantClient(connections)
+    def open_grant_client(
+        self, connections: ConnectionPool, traffic: TrafficCounter
+    ) -> RangeGrantClient:
+        return HttpRangeGrantClient(connections, traffic)
 
     def decode_configuration(self, record: CompactedRecord) -> RouteTable | None:
         return decoders.decode_configuration(record)
--- a/src/fuchsiatrack/platform/grantclient.py
+++ b/src/fuchsiatrack/platform/grantclient.py
@@ -15,6 +15,7 @@
     RequestFailed,
     ServerResponse,
 )
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.platform.headers import EXPECTED_SERVER, WRONG_SERVER_STATUS
 from fuchsiatrack.ranges.grantclient import (
@@ -37,8 +38,9 @@
 class HttpRangeGrantClient(RangeGrantClient):
     """Client that sends grants and releases over HTTP on pooled connections."""
 
-    def __init__(self, connections: ConnectionPool) -> None:
+    def __init__(self, connections: ConnectionPool, traffic: TrafficCounter) -> None:
         self._connections = connections
+        self._traffic = traffic
 
     async def grant(self, server: ServerEntry, grant: RangeGrant, timeout: int) -> None:
         body = {
@@ -96,6 +98,12 @@
             ) from error
         except TimeoutError as error:
             raise OutcomeUnknown(f"{address}: no response within {timeout} ms") from error
+        self._traffic.add(
+            TrafficPurpose.GRANT,
+            server.failure_domain,
+            connection.bytes_sent,
+            connection.bytes_received,
+        )
         self._connections.release(address, address, connection)
         if response.status == WRONG_SERVER_STATUS:
             raise WrongServer(f"{address}: response from a server other than {server.id}")
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -31,6 +31,7 @@
     PlatformUnavailable,
     RecordsExpired,
 )
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 
 # Topics with this prefix keep the newest record of each key indefinitely.
 COMPACTED_TOPIC_PREFIX = "keyed."
@@ -57,8 +58,9 @@
 class LogServiceClient(CompactedLog):
     """Client of the log service over HTTP."""
 
-    def __init__(self, address: Endpoint) -> None:
+    def __init__(self, address: Endpoint, traffic: TrafficCounter | None = None) -> None:
         self._url = f"http://{address}"
+        self._traffic = traffic
         self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
     async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
@@ -162,9 +164,12 @@
                 if attempt is not None:
                     attempt.record_response_start()
                 async with asyncio.timeout(BODY_TIMEOUT_MS / 1_000):
-                    return response.status, await response.read()
+                    body = await response.read()
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
+        if self._traffic is not None:
+            self._traffic.add(TrafficPurpose.LOG, "", len(data or b""), len(body))
+        return response.status, body
 
     def _session(self, new_connection: bool) -> aiohttp.ClientSession:
         """Return the session that reuses connections, or the one that opens one for each call."""
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -58,7 +58,7 @@
         "message",
         [
             LoadReport(
-                "vm", "run", 3, "s", {5: 2}, {"i": ServiceTimeStats(4, 1.5)}, {"directory": 9}
+                "vm", "run", 3, "s", {5: 2}, {"i": ServiceTimeStats(4, 1.5)}, {"directory": 9}, "a"
             ),
             ReportAck(3, 9, True, {"configuration": 4}),
             TermEndNotice(3, 700),
@@ -72,13 +72,17 @@
     def test_malformed_datagram_is_ignored(self, data: bytes):
         received: list = []
         protocol = ReportProtocol(
-            lambda *a: received.append(a), received.append, received.append, received.append
+            lambda *a: received.append(a),
+            received.append,
+            received.append,
+            received.append,
+            lambda *a: None,
         )
         protocol.datagram_received(data, ("127.0.0.1", 1))
         assert not received
 
     def test_many_keys_are_split_and_times_are_sent_once(self):
-        protocol = ReportProtocol(lambda *a: None, id, id, id)
+        protocol = ReportProtocol(lambda *a: None, id, id, id, lambda *a: None)
         protocol.connection_made(FakeTransport())
         keys = dict.fromkeys(range(KEYS_PER_DATAGRAM * 2 + 1), 1)
         report = LoadReport("vm", "run", 1, "s", keys, {"i": ServiceTimeStats(1, 2.0)})
