Tell daemons the changes of ownership instead of whole maps

Change: the leader sends the ranges that changed, with the ranges of the two revisions before, so that a lost datagram costs nothing; a daemon that missed more knows it from the base revision, or from the revisions in the acknowledgements, and reads the log. That read gets only the newest map. While acknowledgements tell, it pauses 12 s instead of 3 s between reads. Moves that end while a map is being saved are saved together. Daemons of the last build drop the new datagram as malformed and read the log each 3 s as before; whole maps are still sent first and understood.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -161,7 +161,8 @@
     records were missed; *on_record* receives each later record.  Both also receive the context of
     the read.  After a page that ends the stream, the next read starts *pause* milliseconds later,
     so that records which are appended together take one call.  A read without a response is
-    repeated every *attempt_interval* milliseconds.
+    repeated every *attempt_interval* milliseconds.  With *newest_only* the read after a pause gets
+    the newest record of each key instead of all records since.
     """
 
     def __init__(
@@ -173,7 +174,9 @@
         on_record: Callable[[CompactedRecord, ReadContext], None],
         pause: int = 0,
         attempt_interval: int = ATTEMPT_INTERVAL_MS,
+        newest_only: bool = False,
     ) -> None:
+        self._newest_only = newest_only
         self._log = log_service
         self._stream = stream
         self._clock = clock
@@ -222,7 +225,7 @@
         page = await self._call(self._attempt_snapshot)
         self._record_success()
         self._on_snapshot(page.records, self._context())
-        self.next = page.next
+        self.next = max(self.next, page.next)
         self._record_caught_up()
         self.caught_up.set()
 
@@ -261,6 +264,10 @@
             self.poll_now()
         self._is_leading = is_leading
 
+    def set_pause(self, pause: int) -> None:
+        """Set the pause, in milliseconds; one that has begun keeps its length."""
+        self._pause = pause
+
     def poll_now(self) -> None:
         """Read now instead of waiting for the end of a long poll or a pause.
 
@@ -282,6 +289,8 @@
             self._record_caught_up()
             if page.records and self._pause:
                 await self._wait_for_poll_now()
+                if self._newest_only:
+                    await self._read_snapshot()
 
     async def _poll_once(self) -> CompactedPage | None:
         """Return the next page, or None if the poll was cancelled in favour of a new one."""
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -21,17 +21,18 @@
     REPORT_PERIOD_MS,
     LoadReport,
     MembershipTracker,
-    OwnershipUpdate,
     ReportAck,
     ReportProtocol,
     ServiceTimeStats,
     TermEndNotice,
 )
+from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import RangeGrantClient
 from fuchsiatrack.ranges.leadership import Leadership
 from fuchsiatrack.ranges.ownership import OwnershipMap
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache, map_key
+from fuchsiatrack.ranges.ownershipchange import OwnershipHistory
 from fuchsiatrack.ranges.planner import BalancedPlanner
 from fuchsiatrack.ranges.records import STATE_STREAM, Term
 
@@ -39,6 +40,8 @@
 # Pause between reads of ownership from the log; the leader sends updates as datagrams, and these
 # reads recover lost ones.
 OWNERSHIP_READ_PAUSE_MS = 3_000
+# The same while the leader's acknowledgements show whether an update was lost.
+ASSISTED_OWNERSHIP_READ_PAUSE_MS = 12_000
 # Ownership maps are large, and the leader sends them as datagrams anyway, so that a read which is
 # merely slow must not be repeated.
 OWNERSHIP_ATTEMPT_INTERVAL_MS = 1_500
@@ -92,6 +95,7 @@
             self._handle_report,
             self._handle_ack,
             self._handle_update,
+            self._handle_change,
             self._handle_term_end_notice,
             self._count_datagram,
         )
@@ -100,6 +104,8 @@
         self._notified_extended_grants_end: tuple[int, int] = (0, 0)
         self._last_ack_at = clock.now()
         self._misrouted_read_at = 0
+        # The revisions of the leader's maps that the latest acknowledgement showed to be newer.
+        self._revisions_behind: dict[str, int] = {}
         self._last_notified_term = 0
         self._last_report_address = ""
         self._daemon_count = settings.expected_daemons
@@ -122,6 +128,7 @@
             self.ownership_cache.apply_record,
             OWNERSHIP_READ_PAUSE_MS,
             OWNERSHIP_ATTEMPT_INTERVAL_MS,
+            newest_only=True,
         )
         self._consumers = {**consumers, "ownership": self._consumer}
 
@@ -136,6 +143,9 @@
 
     def record_misrouted(self) -> None:
         """Read ownership soon, since a server that doesn't own a key hints at a missed update."""
+        self._read_ownership_soon()
+
+    def _read_ownership_soon(self) -> None:
         now = self._clock.now()
         if now - self._misrouted_read_at >= MISROUTED_READ_INTERVAL_MS:
             self._misrouted_read_at = now
@@ -253,12 +263,19 @@
         )
 
     def _create_controller(self, service: str) -> RangeController:
+        history = OwnershipHistory()
+
         async def save(ownership: OwnershipMap) -> None:
             value = ownership.encode()
             await self.leadership.append(map_key(service), value)
+            change = history.record(self.ownership_cache.find(service), ownership)
             self.ownership_cache.apply_map(service, value)
             term = self.leadership.current.number
-            update = OwnershipUpdate(term, service, ownership.revision, value)
+            update = (
+                OwnershipChangeNotice(term, service, change)
+                if change
+                else OwnershipUpdate(term, service, ownership.revision, value)
+            )
             self._protocol.broadcast_update(update, self._membership.addresses)
 
         planner: type[BalancedPlanner] = registry.find("range_planner", PLANNER_NAME)
@@ -288,6 +305,7 @@
         while True:
             await self._clock.sleep(REPORT_PERIOD_MS)
             if self._clock.now() - self._last_ack_at > ACK_TIMEOUT_MS:
+                self._consumer.set_pause(OWNERSHIP_READ_PAUSE_MS)
                 for consumer in self._consumers.values():
                     consumer.mark_isolated()
             term = self.leadership.current
@@ -374,7 +392,13 @@
             for server, row in report.servers.items():
                 controller.service_times.add(server, row.samples, row.mean)
         renewal_failing = self.leadership.is_renewal_failing
-        return ReportAck(report.term, self._membership.count, renewal_failing, self._offsets())
+        return ReportAck(
+            report.term,
+            self._membership.count,
+            renewal_failing,
+            self._offsets(),
+            self.ownership_cache.revisions,
+        )
 
     def _handle_term_end_notice(self, notice: TermEndNotice) -> None:
         """Cap the inherited grants after the previous leader stopped."""
@@ -400,6 +424,7 @@
         self.leadership.record_heartbeat(ack.term, ack.renewal_failing)
         self._last_ack_at = self._clock.now()
         self._observe_peer_offsets(ack.offsets)
+        self._observe_revisions(ack.revisions)
         # A new leader has not yet received a report from every daemon.
         is_count_complete = self._clock.now() - self._term_changed_at() > 2 * REPORT_PERIOD_MS
         if is_count_complete:
@@ -410,9 +435,28 @@
         for name, consumer in self._consumers.items():
             consumer.observe_peer_offset(offsets.get(name, 0))
 
+    def _observe_revisions(self, revisions: Mapping[str, int]) -> None:
+        """Read ownership from the log if the leader's maps have been newer for two reports.
+
+        A map that has just changed arrives by datagram.
+        """
+        own = self.ownership_cache.revisions
+        behind = {name: item for name, item in revisions.items() if own.get(name, 0) < item}
+        if any(own.get(name, 0) < item for name, item in self._revisions_behind.items()):
+            self._read_ownership_soon()
+        self._revisions_behind = behind
+        if revisions:
+            self._consumer.set_pause(ASSISTED_OWNERSHIP_READ_PAUSE_MS)
+
     def _handle_update(self, update: OwnershipUpdate) -> None:
         if update.term >= self.leadership.current.number:
             self.ownership_cache.apply_map(update.service, update.ownership)
 
+    def _handle_change(self, notice: OwnershipChangeNotice) -> None:
+        if notice.term >= self.leadership.current.number:
+            is_current = self.ownership_cache.apply_change(notice.service, notice.change)
+            if not is_current:
+                self._read_ownership_soon()
+
     def _term_changed_at(self) -> int:
         return self.leadership.term_changed_at
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -11,11 +11,11 @@
 import dataclasses
 import json
 import logging
-import zlib
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.trafficcounter import TrafficPurpose
+from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
 
 # Time between reports; the leader counts as unresponsive after three lost reports.
 REPORT_PERIOD_MS = 300
@@ -94,15 +94,16 @@
 class ReportAck:
     """The leader's acknowledgement of a report, also sent without one when the leader resigns.
 
-    `term` is its term, `daemon_count` the number of daemons that report to it, and `offsets` the
-    offset up to which it has read each stream.  `renewal_failing` is true while its lease renewals
-    fail.
+    `term` is its term, `daemon_count` the number of daemons that report to it, `offsets` the offset
+    up to which it has read each stream, and `revisions` the revision of each service's ownership
+    map.  `renewal_failing` is true while its lease renewals fail.
     """
 
     term: int
     daemon_count: int
     renewal_failing: bool = False
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    revisions: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the acknowledgement as JSON."""
@@ -112,6 +113,7 @@
             "daemons": self.daemon_count,
             "faltering": self.renewal_failing,
             "offsets": dict(self.offsets),
+            "revisions": dict(self.revisions),
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -125,8 +127,9 @@
                 int(body["daemons"]),
                 bool(body["faltering"]),
                 _decode_offsets(body["offsets"]),
+                _decode_offsets(body.get("revisions", {})),
             )
-        except (KeyError, TypeError) as error:
+        except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not an acknowledgement: {error!r}") from error
 
 
@@ -157,37 +160,6 @@
             raise ValueError(f"not a term end notice: {error!r}") from error
 
 
-@dataclasses.dataclass(frozen=True)
-class OwnershipUpdate:
-    """A service's ownership map that the leader of `term` has just appended to the log.
-
-    `revision` is the map's own count of its changes.
-    """
-
-    term: int
-    service: str
-    revision: int
-    ownership: bytes
-
-    def encode(self) -> bytes:
-        """Return the update as one line of JSON, followed by the compressed map."""
-        # The first key must stay first: `ReportProtocol` identifies the message by it.
-        header = {"update_term": self.term, "service": self.service, "revision": self.revision}
-        line = json.dumps(header, separators=(",", ":")).encode()
-        return line + b"\n" + zlib.compress(self.ownership)
-
-    @classmethod
-    def decode(cls, data: bytes) -> OwnershipUpdate:
-        """Return the update encoded in *data*; raise ValueError if it encodes none."""
-        line, _, compressed = data.partition(b"\n")
-        try:
-            header = json.loads(line)
-            ownership = zlib.decompress(compressed)
-            return cls(header["update_term"], header["service"], int(header["revision"]), ownership)
-        except (KeyError, TypeError, zlib.error) as error:
-            raise ValueError(f"not an ownership update: {error!r}") from error
-
-
 class MembershipTracker:
     """Daemons that report to this leader, with the addresses that their reports come from."""
 
@@ -243,6 +215,7 @@
         on_report: Callable[[LoadReport, tuple[str, int]], ReportAck | TermEndNotice | None],
         on_ack: Callable[[ReportAck], None],
         on_update: Callable[[OwnershipUpdate], None],
+        on_change: Callable[[OwnershipChangeNotice], None],
         on_term_end_notice: Callable[[TermEndNotice], None],
         on_traffic: Callable[[TrafficPurpose, tuple[str, int], int, int], None],
     ) -> None:
@@ -250,6 +223,7 @@
         self._on_report = on_report
         self._on_ack = on_ack
         self._on_update = on_update
+        self._on_change = on_change
         self._on_term_end_notice = on_term_end_notice
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -271,6 +245,10 @@
             self._on_traffic(TrafficPurpose.OWNERSHIP, address, 0, len(data))
             self._on_update(OwnershipUpdate.decode(data))
             return None
+        if data.startswith(b'{"change_term"'):
+            self._on_traffic(TrafficPurpose.OWNERSHIP, address, 0, len(data))
+            self._on_change(OwnershipChangeNotice.decode(data))
+            return None
         if data.startswith(b'{"ended_term"'):
             self._on_term_end_notice(TermEndNotice.decode(data))
             return None
@@ -299,7 +277,9 @@
             self._send_datagram(TrafficPurpose.LOAD_REPORT, part.encode(), (host, int(port)))
 
     def broadcast_update(
-        self, update: OwnershipUpdate, addresses: Iterable[tuple[str, int]]
+        self,
+        update: OwnershipUpdate | OwnershipChangeNotice,
+        addresses: Iterable[tuple[str, int]],
     ) -> None:
         """Send *update* to each of *addresses*, unless it exceeds `MAX_DATAGRAM_BYTES`.
 
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -33,6 +35,14 @@
 log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(eq=False)
+class _QueuedChange:
+    """A change of the map that waits to be saved; `error` tells why it was not."""
+
+    change: Callable[[OwnershipMap], OwnershipMap]
+    error: Exception | None = None
+
+
 class RangeController(OwnershipView):
     """Controls the key ranges of one service during one term of this daemon.
 
@@ -66,6 +76,7 @@
         self._started_at = clock.now()
         self._balanced_at = -BALANCE_PERIOD_MS
         self._update_lock = asyncio.Lock()
+        self._queued_changes: list[_QueuedChange] = []
         self._move_tasks: dict[int, asyncio.Task] = {}
         self.key_load = KeyLoad(clock)
         self.service_times = ServiceTimes()
@@ -203,14 +214,32 @@
             log.info("ranges merged", extra=fields)
 
     async def _update(self, change: Callable[[OwnershipMap], OwnershipMap]) -> None:
-        """Apply *change* to the map, once the changed map is saved to the log."""
+        """Apply *change* to the map, once the changed map is saved to the log.
+
+        Changes that are requested during a save are saved together after it.
+        """
+        queued = _QueuedChange(change)
+        self._queued_changes.append(queued)
         async with self._update_lock:
-            changed = change(self._map)
+            if queued in self._queued_changes:
+                batch, self._queued_changes = self._queued_changes, []
+                await self._save_changes(batch)
+        if queued.error is not None:
+            raise queued.error
+
+    async def _save_changes(self, batch: list[_QueuedChange]) -> None:
+        try:
+            changed = functools.reduce(lambda current, item: item.change(current), batch, self._map)
             if changed.ranges != self._map.ranges:
                 changed = changed.with_revision(self._map.revision + 1)
                 self._pending_map = changed
                 await self._save(changed)
                 self._map, self._pending_map = changed, None
+        except BaseException as error:
+            failure = error if isinstance(error, Exception) else NotLeading("save cancelled")
+            for item in batch:
+                item.error = failure
+            raise
 
     # Moves
 
--- a/src/fuchsiatrack/ranges/ownership.py
+++ b/src/fuchsiatrack/ranges/ownership.py
@@ -14,6 +14,14 @@
 LAST_KEY = 65_535
 
 
+@dataclasses.dataclass(frozen=True)
+class KeyInterval:
+    """The keys from `first` to `last`."""
+
+    first: int
+    last: int
+
+
 @dataclasses.dataclass(frozen=True)
 class OwnedRange:
     """A range of keys from `first` to `last`, and its owner.
@@ -134,29 +142,53 @@
                 ranges.append(item)
         return OwnershipMap(tuple(ranges), self.fence) if len(ranges) < len(self.ranges) else self
 
+    def changed_keys(self, earlier: OwnershipMap) -> tuple[KeyInterval, ...]:
+        """Return the intervals of keys whose ranges differ from those of *earlier*, in order."""
+        unchanged = set(earlier.ranges)
+        return tuple(
+            KeyInterval(item.first, item.last) for item in self.ranges if item not in unchanged
+        )
+
+    def overlapping(self, intervals: Iterable[KeyInterval]) -> tuple[OwnedRange, ...]:
+        """Return the ranges that have keys in any of *intervals*, in key order."""
+        wanted = tuple(intervals)
+        return tuple(
+            item
+            for item in self.ranges
+            if any(item.overlaps(interval.first, interval.last) for interval in wanted)
+        )
+
+    def replace_ranges(
+        self, ranges: Iterable[OwnedRange], fence: int, revision: int
+    ) -> OwnershipMap:
+        """Return a map in which *ranges* replace those that have any of their keys.
+
+        Raise ValueError if the ranges to replace have other keys as well.
+        """
+        added = tuple(ranges)
+        intervals = sorted((item.first, item.last) for item in added)
+        kept = tuple(item for item in self.ranges if not _overlaps_any(item, intervals))
+        replaced = OwnershipMap(
+            tuple(sorted((*kept, *added), key=lambda item: item.first)), fence, revision
+        )
+        if not replaced.covers_all_keys:
+            raise ValueError(f"ranges do not fit into revision {self.revision} (got {intervals})")
+        return replaced
+
+    @property
+    def covers_all_keys(self) -> bool:
+        """Whether each key is in exactly one range."""
+        ends = [-1, *(item.last for item in self.ranges)]
+        starts = [*(item.first for item in self.ranges), LAST_KEY + 1]
+        return all(end + 1 == start for end, start in zip(ends, starts, strict=True))
+
     def with_revision(self, revision: int) -> OwnershipMap:
         """Return the same map with *revision*."""
         return dataclasses.replace(self, revision=revision)
 
     def encode(self) -> bytes:
         """Return the map as JSON."""
-        rows = [
-            [
-                item.first,
-                item.last,
-                item.owner.server,
-                item.owner.started_at,
-                item.fence,
-                item.handover,
-                *(
-                    [item.successor.server, item.successor.started_at]
-                    if item.successor
-                    else ["", 0]
-                ),
-                item.next_fence,
-            ]
-            for item in self.ranges
-        ]
+        rows = [encode_range(item) for item in self.ranges]
         body = {"fence": self.fence, "revision": self.revision, "ranges": rows}
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -165,7 +197,7 @@
         """Return the map encoded in *data*; raise ValueError if *data* is malformed."""
         try:
             body = json.loads(data)
-            ranges = tuple(_decode_row(row) for row in body["ranges"])
+            ranges = tuple(decode_range(row) for row in body["ranges"])
             return cls(ranges, int(body["fence"]), int(body["revision"]))
         except (KeyError, TypeError) as error:
             raise ValueError(f"not an ownership map: {error!r}") from error
@@ -198,7 +230,29 @@
     return before, dataclasses.replace(item, first=start, last=end), after
 
 
-def _decode_row(row: list) -> OwnedRange:
+def _overlaps_any(item: OwnedRange, intervals: list[tuple[int, int]]) -> bool:
+    """Return whether *item* has keys in any of *intervals*, which are sorted and disjoint."""
+    index = bisect.bisect_right(intervals, item.last, key=lambda interval: interval[0]) - 1
+    return index >= 0 and intervals[index][1] >= item.first
+
+
+def encode_range(item: OwnedRange) -> list:
+    """Return *item* as a list of JSON values."""
+    successor = [item.successor.server, item.successor.started_at] if item.successor else ["", 0]
+    return [
+        item.first,
+        item.last,
+        item.owner.server,
+        item.owner.started_at,
+        item.fence,
+        item.handover,
+        *successor,
+        item.next_fence,
+    ]
+
+
+def decode_range(row: list) -> OwnedRange:
+    """Return the range encoded in *row*; raise TypeError or ValueError if it encodes none."""
     first, last, owner, started_at, fence, handover, successor, next_started_at, next_fence = row
     return OwnedRange(
         first,
--- a/src/fuchsiatrack/ranges/ownershipcache.py
+++ b/src/fuchsiatrack/ranges/ownershipcache.py
@@ -10,6 +10,7 @@
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.ranges.leadership import Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
+from fuchsiatrack.ranges.ownershipchange import OwnershipChange
 from fuchsiatrack.ranges.records import TERM_KEY
 
 MAP_PREFIX = "map/"
@@ -31,6 +32,11 @@
         self._moving_since: dict[str, dict[tuple[int, int], int]] = {}
         self.changed: Subject[str] = Subject()
 
+    @property
+    def revisions(self) -> dict[str, int]:
+        """The revision of the map of each service."""
+        return {service: item.revision for service, item in self._maps.items()}
+
     def find(self, service: str) -> OwnershipMap:
         """Return the map of *service*, which is empty if no keys are assigned."""
         return self._maps.get(service, OwnershipMap())
@@ -63,8 +69,25 @@
         except ValueError as error:
             log.error("malformed ownership map", extra={"service": service, "why": str(error)})
             return
-        if ownership.revision < self.find(service).revision:
-            return
+        if ownership.revision >= self.find(service).revision:
+            self._put(service, ownership)
+
+    def apply_change(self, service: str, change: OwnershipChange) -> bool:
+        """Update the map of *service*; return whether it has at least the change's revision.
+
+        It hasn't if too many changes were missed; the map must then be read from the log.
+        """
+        current = self.find(service)
+        if current.revision >= change.revision:
+            return True
+        try:
+            self._put(service, change.apply(current))
+        except ValueError as error:
+            log.info("ownership change missed", extra={"service": service, "why": str(error)})
+            return False
+        return True
+
+    def _put(self, service: str, ownership: OwnershipMap) -> None:
         self._maps[service] = ownership
         known, now = self._moving_since.get(service, {}), self._clock.now()
         self._moving_since[service] = {
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel import logs
 from fuchsiatrack.kernel.clock import Clock
@@ -19,12 +20,14 @@
     KEYS_PER_DATAGRAM,
     LoadReport,
     MembershipTracker,
-    OwnershipUpdate,
     ReportAck,
     ReportProtocol,
     ServiceTimeStats,
     TermEndNotice,
 )
+from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
+from fuchsiatrack.ranges.ownership import OwnedRange
+from fuchsiatrack.ranges.ownershipchange import OwnershipChange
 from tests.fleet import route, run_fleet
 
 
@@ -60,7 +63,10 @@
             LoadReport(
                 "vm", "run", 3, "s", {5: 2}, {"i": ServiceTimeStats(4, 1.5)}, {"directory": 9}, "a"
             ),
-            ReportAck(3, 9, True, {"configuration": 4}),
+            ReportAck(3, 9, True, {"configuration": 4}, {"s": 7}),
+            OwnershipChangeNotice(
+                3, "s", OwnershipChange(6, 8, 4, (OwnedRange(0, 9, ServerIncarnation("i", 5), 4),))
+            ),
             TermEndNotice(3, 700),
             OwnershipUpdate(3, "s", 8, b'{"ranges": []}'),
         ],
@@ -76,13 +82,14 @@
             received.append,
             received.append,
             received.append,
+            received.append,
             lambda *a: None,
         )
         protocol.datagram_received(data, ("127.0.0.1", 1))
         assert not received
 
     def test_many_keys_are_split_and_times_are_sent_once(self):
-        protocol = ReportProtocol(lambda *a: None, id, id, id, lambda *a: None)
+        protocol = ReportProtocol(lambda *a: None, id, id, id, id, lambda *a: None)
         protocol.connection_made(FakeTransport())
         keys = dict.fromkeys(range(KEYS_PER_DATAGRAM * 2 + 1), 1)
         report = LoadReport("vm", "run", 1, "s", keys, {"i": ServiceTimeStats(1, 2.0)})
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -670,6 +670,22 @@
         await _wait_for(lambda: len(saved) == 2)
         assert max(item.fence for item in saved[-1].ranges) > 1
 
+    async def test_moves_that_end_during_a_save_are_saved_together(self, controller_setup):
+        """One save for each of many moves would delay the last of them by all the others."""
+        grant_client, _, directory, saved = controller_setup
+        await _wait_for(lambda: all(grant_client.holders(key) for key in range(0, LAST_KEY, 999)))
+        draining = dataclasses.replace(_entry(INCARNATIONS[1]), draining=True)
+        directory.put(draining, ReadContext())
+        await _wait_for(lambda: any(item.is_moving for item in saved[-1].ranges))
+        started = len(saved)
+        saved.resume = asyncio.Event()
+        await asyncio.sleep(0.3)
+        saved.resume.set()
+        await _wait_for(lambda: not any(item.is_moving for item in saved[-1].ranges))
+        moves = sum(item.is_moving for item in saved[started - 1].ranges)
+        assert moves > 2
+        assert len(saved) - started <= 2
+
     async def test_range_is_not_renewed_while_its_move_is_being_saved(self, controller_setup):
         grant_client, _, directory, saved = controller_setup
         await _wait_for(lambda: all(grant_client.holders(key) for key in range(0, LAST_KEY, 999)))
--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -39,7 +39,8 @@
         self._appended = asyncio.Condition()
 
     async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
-        return CompactedPage(tuple(self.records), len(self.records))
+        newest = {record.key: record for record in self.records}
+        return CompactedPage(tuple(newest.values()), len(self.records))
 
     async def read(
         self, stream: Stream, first: int, wait: int, attempt: Attempt | None = None
@@ -101,6 +102,39 @@
         await asyncio.sleep(0.6)
         assert log.reads == 3
 
+    async def test_superseded_records_are_not_read(self):
+        """A large map that changes often would otherwise be read in all its versions."""
+        log, seen = FakeLog(), []
+        consumer = StreamConsumer(
+            log,
+            Stream("state"),
+            SystemClock(),
+            lambda records, context: seen.extend(record.value for record in records),
+            lambda record, context: seen.append(record.value),
+            pause=200,
+            newest_only=True,
+        )
+        task = asyncio.create_task(consumer.run())
+        await asyncio.sleep(0.05)
+        for index in range(30):
+            await log.append(Stream("state"), [("map", b"%d" % index)])
+            await asyncio.sleep(0)
+        await log.wait_for_reads(2)
+        task.cancel()
+        assert seen[-1] == b"29"
+        assert len(seen) <= 3
+
+    async def test_pause_that_is_set_applies_to_the_next_one(self, parts):
+        log, consumer, seen = parts
+        consumer.set_pause(5_000)
+        await log.append(Stream("servers"), [("s0", b"")])
+        await log.wait_for_reads(1)
+        await asyncio.sleep(0.5)
+        assert seen == ["s0"]
+        assert log.reads == 1
+        consumer.poll_now()
+        await log.wait_for_reads(2)
+
     async def test_peer_that_is_briefly_ahead_causes_no_read(self, parts):
         log, consumer, seen = parts
         consumer.observe_peer_offset(1)
