Never take a late second copy of a response for the answer to another request

Here the request id kept such a copy from the next caller, but the connection went back to the pool with the right response still on its way, so that the caller after it failed too (502); a rejection without an id, which may be a copy as well, was taken as proof that the request hadn't run; and a retry at the same server could reuse the connection on which a copy of its own first rejection was still to come, so that an order could have run and been refused as not run.

Change: a connection with a response for another request is closed; a rejection without an id proves something on a new connection only; a retry at a server that has got the request before opens a new connection. Both new tests failed before (the third caller got 502; the order got 503).

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -81,6 +81,10 @@
     body_idle_timeout: int
 
 
+class ResponseMismatch(RequestError):
+    """The response belongs to another request, and the right one may still arrive."""
+
+
 @dataclasses.dataclass
 class Outcome:
     """Result of a request, for logs and metrics; times are in milliseconds.
@@ -286,6 +290,9 @@
         stats = dependencies.stats.get(entry.id, entry.slots)
         queue = dependencies.queues.get(entry.id)
         max_idle = IDEMPOTENT_MAX_IDLE_MS if route.idempotent else ORDER_MAX_IDLE_MS
+        if entry.id in self._tried_servers:
+            # A late second copy of the previous response would pass for the next one.
+            max_idle = 0
         stats.in_flight += 1
         started_at = self._clock.now()
         try:
@@ -302,7 +309,6 @@
             self._record_send(entry)
             self._tried_servers.add(entry.id)
             response = await self._send_request(connection, entry)
-            dependencies.connections.release(entry.id, entry.address, connection)
         except ConnectFailed as error:
             stats.record_failure(self._clock.now())
             raise RequestError(ErrorReason.CONNECTION, retry_after_ms=RETRY_AFTER_MS) from error
@@ -311,9 +317,15 @@
             raise self._send_error(ErrorReason.CONNECTION, error.verdict) from error
         finally:
             stats.in_flight -= 1
-        return self._check_response(
-            response, entry, route, request_metadata, self._clock.now() - started_at
-        )
+        try:
+            return self._check_response(
+                response, connection, entry, route, request_metadata, started_at
+            )
+        except ResponseMismatch:
+            connection.abort()
+            raise
+        finally:
+            dependencies.connections.release(entry.id, entry.address, connection)
 
     def _record_send(self, entry: ServerEntry) -> None:
         directory, outcome = self._dependencies.directory, self.outcome
@@ -353,23 +365,35 @@
         response_metadata = self._dependencies.header_codec.parse_response(
             response.status, response.headers
         )
-        if response_metadata.not_executed and response_metadata.request_id in (
-            "",
-            self.outcome.request_id,
-        ):
+        if self._proves_not_run(response_metadata, connection):
             self._may_have_run = may_have_run_before
         return response
 
+    def _proves_not_run(
+        self, response_metadata: ResponseMetadata, connection: ServerConnection
+    ) -> bool:
+        """Return whether the response states that this request did not run.
+
+        Without a request id it may belong to an earlier request on the same connection.
+        """
+        if not response_metadata.not_executed:
+            return False
+        if not response_metadata.request_id:
+            return not connection.is_reused
+        return response_metadata.request_id == self.outcome.request_id
+
     def _check_response(
         self,
         response: ServerResponse,
+        connection: ServerConnection,
         entry: ServerEntry,
         route: Route,
         request_metadata: RequestMetadata,
-        elapsed: int,
+        started_at: int,
     ) -> web.Response:
         """Return the response for the caller; raise RequestError if it must not be relayed."""
         dependencies, now = self._dependencies, self._clock.now()
+        elapsed = now - started_at
         stats = dependencies.stats.get(entry.id, entry.slots)
         response_metadata = dependencies.header_codec.parse_response(
             response.status, response.headers
@@ -377,10 +401,7 @@
         if response_metadata.load is not None:
             stats.record_load(response_metadata.load, now)
         queue = dependencies.queues.get(entry.id)
-        if response_metadata.not_executed and response_metadata.request_id in (
-            "",
-            request_metadata.request_id,
-        ):
+        if self._proves_not_run(response_metadata, connection):
             if response_metadata.misrouted:
                 raise self._misrouted_error(entry, response_metadata)
             queue.limit.record_rejection()
@@ -388,7 +409,7 @@
             raise RequestError(ErrorReason.SHED, retry_after_ms=RETRY_AFTER_MS)
         if response_metadata.request_id != request_metadata.request_id:
             stats.record_failure(now)
-            raise self._send_error(ErrorReason.RESPONSE_MISMATCH, Verdict.MAY_HAVE_RUN)
+            raise ResponseMismatch(ErrorReason.RESPONSE_MISMATCH, Verdict.MAY_HAVE_RUN)
         if not response_metadata.has_server_signature and response.status < 400:
             stats.record_failure(now)
             raise self._send_error(ErrorReason.TRUNCATED, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/tests/test_faulty_servers.py
@@ -0,0 +1,130 @@
+"""Servers that answer twice."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from tests.fleet import Fleet, route, run_fleet
+
+Respond = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class RawServer:
+    """A backend server whose bytes the test decides; it is listed but has no HTTP stack."""
+
+    def __init__(self, fleet: Fleet, server_id: str, service: str, respond: Respond) -> None:
+        self._fleet = fleet
+        self._id = server_id
+        self._service = service
+        self._respond = respond
+        self._server: asyncio.Server | None = None
+        self.connection_count = 0
+
+    async def start(self) -> None:
+        """Listen on a free port, and list the server."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        info = {"Service": self._service, "Version": "v1", "Zone": "a", "Slots": 4}
+        status = {"State": "ready", "Sequence": 1, "ColdRemaining": "0ms"}
+        entry = {
+            "Address": f"127.0.0.1:{port}",
+            "born": time.time_ns() // 1_000_000,
+            "Info": info,
+            "Status": status,
+        }
+        self._fleet.log_service.put("keyed.servers", self._id, entry)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connection_count += 1
+        try:
+            await self._respond(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+
+async def _read_request_id(reader: asyncio.StreamReader) -> str:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = (line.partition(": ") for line in head.split("\r\n"))
+    return next(value for name, _, value in lines if name.lower() == "x-request-id")
+
+
+def _response(request_id: str, status: str = "200 OK", headers: str = "") -> bytes:
+    body = f"body of {request_id}"
+    return (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\nX-Gateway-Stamp: s\r\n{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+@pytest.fixture
+async def fleet():
+    async with run_fleet() as running:
+        yield running
+
+
+async def _start(fleet: Fleet, respond: Respond, kind: str = "safe") -> RawServer:
+    """Start a daemon with one service, whose only server is a raw one."""
+    server = RawServer(fleet, "raw-0", "audit", respond)
+    await server.start()
+    fleet.publish(1, [route("audit", "/audit/", kind, "audit")])
+    await fleet.add_daemon("entry-1")
+    await fleet.wait_ready()
+    return server
+
+
+class TestSecondCopies:
+    """A server sends a second copy of a response, late, on a connection that is in use again."""
+
+    async def test_no_caller_gets_the_response_of_another(self, fleet: Fleet):
+        """The connection must not be used again, since the right response may still arrive."""
+        seen: list[str] = []
+
+        async def respond(reader, writer):
+            while True:
+                request_id = await _read_request_id(reader)
+                seen.append(request_id)
+                if len(seen) == 2:
+                    writer.write(_response(seen[0]))
+                    await asyncio.sleep(0.15)
+                writer.write(_response(request_id))
+                await writer.drain()
+
+        await _start(fleet, respond)
+        await fleet.call("/audit/1", request_id="first")
+        status, body, _ = await fleet.call("/audit/2", request_id="second")
+        assert status == 502 and b"first" not in body
+        status, body, _ = await fleet.call("/audit/3", request_id="third")
+        assert (status, body) == (200, b"body of third")
+
+    async def test_rejection_without_id_proves_nothing_on_a_used_connection(self, fleet: Fleet):
+        """It may be a second copy of the rejection of an earlier request."""
+        count = 0
+
+        async def respond(reader, writer):
+            nonlocal count
+            while True:
+                request_id = await _read_request_id(reader)
+                count += 1
+                if count == 2:
+                    writer.write(
+                        b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    )
+                else:
+                    writer.write(_response(request_id))
+                await writer.drain()
+
+        await _start(fleet, respond, kind="unsafe")
+        assert (await fleet.call("/audit/1", method="POST", body=b"x"))[0] == 200
+        status, _, _ = await fleet.call("/audit/2", method="POST", body=b"x")
+        assert status == 502
+        assert count == 2
