Take reset connections and silence as rejections, and space retries at one server

Cause: a request was written to a connection that the server had already reset, so nobody could tell whether it ran, and it was retried at once, up to six times; neither a reset nor silence lowered the limit at the server; and each of 82 daemons began with a limit of 4 for its 6 slots.

Change: new connections for orders, and to servers that reset one lately, are used only after the time in which a reset arrives; retrypolicy.py decides alone, without input or output, whether and when a request is sent again; a response overdue by four service times lowers the limit like a rejection; the initial limits together are bounded by the server's slots.

--- a/src/fuchsiatrack/gateway/admission.py
+++ b/src/fuchsiatrack/gateway/admission.py
@@ -13,8 +13,11 @@
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
 
-# Limit while nothing is known of the server's load.
+# Limit while nothing is known of the server's load, if few daemons share it.
 INITIAL_LIMIT_REQUESTS = 4.0
+# The initial limits of all daemons together are at most this multiple of the server's slots, or 1
+# each: when a key turns hot, all daemons send to its owner before the first response tells of it.
+INITIAL_LIMIT_SLOTS_RATIO = 8.0
 # Added to the limit after a response if fewer requests than half the server's slots wait there;
 # subtracted if more than its slots wait, which adds one service time.  Limits below 0.5 double
 # instead, and limits below 1 halve.
@@ -31,6 +34,12 @@
 AFFORDABLE_WAIT_RATIO = 0.8
 
 
+def initial_limit(slots: int, daemon_count: int) -> float:
+    """Return the limit of one of *daemon_count* daemons at a server of which nothing is known."""
+    share = INITIAL_LIMIT_SLOTS_RATIO * slots / max(1, daemon_count)
+    return min(INITIAL_LIMIT_REQUESTS, max(1.0, share))
+
+
 class ConcurrencyLimit:
     """Adaptive limit on one daemon's concurrent requests to one server.
 
@@ -38,8 +47,8 @@
     of each call.
     """
 
-    def __init__(self) -> None:
-        self._limit = INITIAL_LIMIT_REQUESTS
+    def __init__(self, initial: float = INITIAL_LIMIT_REQUESTS) -> None:
+        self._limit = initial
 
     def current(self, max_limit: int) -> int:
         """Return how many requests may be in flight at once."""
@@ -124,14 +133,14 @@
     which the server processes requests.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, initial: float = INITIAL_LIMIT_REQUESTS) -> None:
         self._clock = clock
         self._waiting: list[tuple[QueuedRequest, asyncio.Future[None]]] = []
         self._in_flight = 0
         self._max_limit = 1
         self._paused_until = 0
         self._pause_timer: asyncio.TimerHandle | None = None
-        self.limit = ConcurrencyLimit()
+        self.limit = ConcurrencyLimit(initial)
 
     @property
     def in_flight(self) -> int:
@@ -246,11 +255,12 @@
         self._clock = clock
         self._queues: dict[str, AdmissionQueue] = {}
 
-    def get(self, server: str) -> AdmissionQueue:
+    def get(self, server: str, slots: int, daemon_count: int) -> AdmissionQueue:
         """Return the queue of *server*, creating it if necessary."""
         queue = self._queues.get(server)
         if queue is None:
-            queue = self._queues[server] = AdmissionQueue(self._clock)
+            queue = AdmissionQueue(self._clock, initial_limit(slots, daemon_count))
+            self._queues[server] = queue
         return queue
 
     def keep_only(self, listed: frozenset[str]) -> None:
--- a/src/fuchsiatrack/gateway/connectionpool.py
+++ b/src/fuchsiatrack/gateway/connectionpool.py
@@ -15,6 +15,12 @@
 
 # Many round trips within a region, yet short enough to try another server.
 CONNECT_TIMEOUT_MS = 400
+# A server resets a connection above its maximum right after accepting it, so that the reset arrives
+# about one round trip after the connection was opened.  The wait for it is this multiple of the
+# time that opening took, and bounded.
+SETTLE_FACTOR = 1.5
+SETTLE_MIN_MS = 2
+SETTLE_MAX_MS = 20
 
 
 class ConnectionPool:
@@ -29,16 +35,20 @@
         self._idle: dict[tuple[str, str], list[ServerConnection]] = {}
         self.opened_count = 0
 
-    async def acquire(self, server: str, address: str, max_idle: int) -> ServerConnection:
+    async def acquire(
+        self, server: str, address: str, max_idle: int, settle: bool = False
+    ) -> ServerConnection:
         """Return a connection idle for less than *max_idle* milliseconds, or a new one.
 
-        0 always opens a new one.  Raises ConnectFailed if no connection could be opened.
+        0 always opens a new one.  With *settle* a new one is returned only after the time in which
+        a server that accepts no further connections resets it.  Raises ConnectFailed if no
+        connection could be opened.
         """
         connection = self._pop_idle((server, address), max_idle)
         if connection is not None:
             connection.prepare_reuse()
             return connection
-        return await self._open(address)
+        return await self._open(address, settle)
 
     def release(self, server: str, address: str, connection: ServerConnection) -> None:
         """Keep *connection* for reuse, or close it if it can't be reused."""
@@ -96,8 +106,9 @@
             connection.abort()
         return None
 
-    async def _open(self, address: str) -> ServerConnection:
+    async def _open(self, address: str, settle: bool) -> ServerConnection:
         loop = asyncio.get_running_loop()
+        started_at = self._clock.now()
         host, _, port = address.rpartition(":")
         self.opened_count += 1
         try:
@@ -108,6 +119,11 @@
         except (TimeoutError, OSError, ValueError) as error:
             raise ConnectFailed(f"{address}: {error!r}") from error
         set_keepalive(transport.get_extra_info("socket"))
+        if settle:
+            settle_time = int(SETTLE_FACTOR * (self._clock.now() - started_at))
+            await self._clock.sleep(min(SETTLE_MAX_MS, max(SETTLE_MIN_MS, settle_time)))
+            if not connection.is_usable:
+                raise ConnectFailed(f"{address}: connection reset after it was opened")
         return connection
 
 
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from aiohttp import web
 
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
-from fuchsiatrack.gateway.admission import AdmissionQueues, QueuedRequest
+from fuchsiatrack.gateway.admission import AdmissionQueue, AdmissionQueues, QueuedRequest
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
 from fuchsiatrack.gateway.retrybudget import SharedRetryBudget
+from fuchsiatrack.gateway.retrypolicy import FailedSend, retry_delay
 from fuchsiatrack.gateway.serverconnection import (
     ConnectFailed,
     OutgoingRequest,
@@ -23,7 +25,7 @@
     ServerResponse,
 )
 from fuchsiatrack.gateway.serverselection import SelectionRequest, ServerSelector
-from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
+from fuchsiatrack.gateway.serverstats import ServerStats, ServerStatsRegistry
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
@@ -45,12 +47,12 @@
 # Longest wait for an ownership change after a server reported that it doesn't own the key: a grant
 # follows its record in the log within a few milliseconds.
 OWNERSHIP_CHANGE_WAIT_MS = 60
-# Delay before a retry, multiplied by the number of sends so far.
-RETRY_DELAY_MS = 4
 # Sent to callers whose requests are rejected.
 RETRY_AFTER_MS = 150
-# Limit on the sends of one request to all servers together.
-MAX_SENDS = 6
+# A response that takes longer than this multiple of the mean service time counts as a rejection:
+# some servers never respond to a request that they can't queue.
+SILENCE_SERVICE_TIMES = 4.0
+SILENCE_MIN_MS = 300
 
 log = logging.getLogger(__name__)
 
@@ -119,6 +121,8 @@
         self._deadline = 0
         self._excluded_servers: frozenset[str] = frozenset()
         self._tried_servers: set[str] = set()
+        self._failed_connects = 0
+        self._objective_at = 0
         self._may_have_run = False
         self._failed_response: web.Response | None = None
         self._service: RoutedService | None = None
@@ -152,6 +156,7 @@
             route.timeout if request_metadata.time_left is None else request_metadata.time_left
         )
         self._deadline = self._started_at + min(time_left - RESPONSE_MARGIN_MS, route.timeout)
+        self._objective_at = self._started_at + route.objective
         self._dependencies.find_budget(service).record_request()
         # Kept for the whole request, since a newer configuration may remove the service.
         self._service = table.services[service]
@@ -224,8 +229,8 @@
             "left_ms": self._time_left,
         }
         log.info("send failed", extra=fields)
-        may_retry = request_error.verdict.is_safe_to_retry or route.idempotent
-        if not may_retry or not self._body.can_resend or outcome.sends >= MAX_SENDS:
+        delay = retry_delay(self._failed_send(request_error, route, entry))
+        if delay is None:
             raise request_error
         if request_error.reason is ErrorReason.STALE_ROUTE:
             # Nothing was sent; another server is selected.
@@ -242,7 +247,23 @@
                 raise request_error
         if len(self._tried_servers) >= route.max_servers and entry.id in self._excluded_servers:
             raise request_error
-        await self._clock.sleep(RETRY_DELAY_MS * outcome.sends)
+        await self._clock.sleep(delay)
+
+    def _failed_send(
+        self, request_error: RequestError, route: Route, entry: ServerEntry
+    ) -> FailedSend:
+        return FailedSend(
+            reason=request_error.reason,
+            verdict=request_error.verdict,
+            is_idempotent=route.idempotent,
+            can_resend=self._body.can_resend,
+            is_only_server=self._service.keyed,
+            sends=self.outcome.sends,
+            failed_connects=self._failed_connects,
+            service_time=self._dependencies.stats.get(entry.id, entry.slots).service_time,
+            time_to_objective=self._objective_at - self._clock.now(),
+            time_left=self._time_left,
+        )
 
     async def _send(
         self,
@@ -253,7 +274,7 @@
     ) -> web.Response:
         """Send once; raise RequestError with the known verdict if there is no usable response."""
         stats = self._dependencies.stats.get(entry.id, entry.slots)
-        queue = self._dependencies.queues.get(entry.id)
+        queue = self._queue(entry)
         connection_share = self._connection_share()
         await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
         try:
@@ -264,6 +285,10 @@
         finally:
             queue.release(stats.service_time)
 
+    def _queue(self, entry: ServerEntry) -> AdmissionQueue:
+        daemon_count = self._dependencies.daemon_count()
+        return self._dependencies.queues.get(entry.id, entry.slots, daemon_count)
+
     def _check_current(self, entry: ServerEntry, selection_request: SelectionRequest) -> None:
         """Raise RequestError if *entry* may not get the request any more."""
         selector = self._dependencies.find_selector(self._service)
@@ -288,18 +313,22 @@
     ) -> web.Response:
         dependencies = self._dependencies
         stats = dependencies.stats.get(entry.id, entry.slots)
-        queue = dependencies.queues.get(entry.id)
+        queue = self._queue(entry)
         max_idle = IDEMPOTENT_MAX_IDLE_MS if route.idempotent else ORDER_MAX_IDLE_MS
         if entry.id in self._tried_servers:
             # A late second copy of the previous response would pass for the next one.
             max_idle = 0
+        settle = not route.idempotent or stats.resets_connections(self._clock.now())
+        connection: ServerConnection | None = None
         stats.in_flight += 1
         started_at = self._clock.now()
         try:
             dependencies.connections.trim_idle(
                 entry.id, entry.address, connection_share - queue.in_flight
             )
-            connection = await dependencies.connections.acquire(entry.id, entry.address, max_idle)
+            connection = await dependencies.connections.acquire(
+                entry.id, entry.address, max_idle, settle
+            )
             try:
                 # Opening a connection takes time.
                 self._check_current(entry, selection_request)
@@ -308,11 +337,18 @@
                 raise
             self._record_send(entry)
             self._tried_servers.add(entry.id)
-            response = await self._send_request(connection, entry)
+            with self._silence_timer(entry):
+                response = await self._send_request(connection, entry)
         except ConnectFailed as error:
+            self._failed_connects += 1
+            queue.limit.record_rejection()
             stats.record_failure(self._clock.now())
-            raise RequestError(ErrorReason.CONNECTION, retry_after_ms=RETRY_AFTER_MS) from error
+            retry_after_ms = self._time_to_room(stats)
+            raise RequestError(ErrorReason.CONNECTION, retry_after_ms=retry_after_ms) from error
         except RequestFailed as error:
+            if not connection.is_reused and not connection.bytes_received:
+                stats.record_connection_reset(self._clock.now())
+                queue.limit.record_rejection()
             stats.record_failure(self._clock.now())
             raise self._send_error(ErrorReason.CONNECTION, error.verdict) from error
         finally:
@@ -327,6 +363,24 @@
         finally:
             dependencies.connections.release(entry.id, entry.address, connection)
 
+    def _time_to_room(self, stats: ServerStats) -> int:
+        """Return when a server that is full is likely to have room, spread over its callers."""
+        return int(stats.service_time * self._dependencies.rng.uniform(1.0, 2.0))
+
+    @contextlib.contextmanager
+    def _silence_timer(self, entry: ServerEntry) -> Iterator[None]:
+        """Lower the limit of the server of *entry* once the response is overdue."""
+        stats = self._dependencies.stats.get(entry.id, entry.slots)
+        queue = self._queue(entry)
+        patience = max(SILENCE_MIN_MS, SILENCE_SERVICE_TIMES * stats.service_time)
+        timer = asyncio.get_running_loop().call_later(
+            patience / 1_000, queue.limit.record_rejection
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def _record_send(self, entry: ServerEntry) -> None:
         directory, outcome = self._dependencies.directory, self.outcome
         state = directory.state_of(entry).value
@@ -400,13 +454,13 @@
         )
         if response_metadata.load is not None:
             stats.record_load(response_metadata.load, now)
-        queue = dependencies.queues.get(entry.id)
+        queue = self._queue(entry)
         if self._proves_not_run(response_metadata, connection):
             if response_metadata.misrouted:
                 raise self._misrouted_error(entry, response_metadata)
             queue.limit.record_rejection()
             stats.record_response(elapsed, False, now)
-            raise RequestError(ErrorReason.SHED, retry_after_ms=RETRY_AFTER_MS)
+            raise RequestError(ErrorReason.SHED, retry_after_ms=self._time_to_room(stats))
         if response_metadata.request_id != request_metadata.request_id:
             stats.record_failure(now)
             raise ResponseMismatch(ErrorReason.RESPONSE_MISMATCH, Verdict.MAY_HAVE_RUN)
--- a/src/fuchsiatrack/gateway/serverstats.py
+++ b/src/fuchsiatrack/gateway/serverstats.py
@@ -20,6 +20,8 @@
 FAILURE_HALF_LIFE_MS = 1_500
 # A failure share of 1 counts as this many additional requests at the server.
 FAILURE_PENALTY_REQUESTS = 12.0
+# A server that reset a new connection is expected to reset others for this long.
+CONNECTION_RESET_MEMORY_MS = 5_000
 
 
 @dataclasses.dataclass
@@ -33,6 +35,7 @@
     failures_updated_at: int = 0
     load: ReportedLoad | None = None
     load_reported_at: int = 0
+    connection_reset_at: int | None = None
     samples: int = 0
     total_time: float = 0.0
 
@@ -73,6 +76,15 @@
         """Record a request without a usable response."""
         self._record_outcome(True, now)
 
+    def record_connection_reset(self, now: int) -> None:
+        """Record that a new connection ended without any byte of a response."""
+        self.connection_reset_at = now
+
+    def resets_connections(self, now: int) -> bool:
+        """Return whether the server has recently reset a new connection."""
+        reset_at = self.connection_reset_at
+        return reset_at is not None and now - reset_at < CONNECTION_RESET_MEMORY_MS
+
     def record_load(self, load: ReportedLoad, now: int) -> None:
         """Record the load that the server reported."""
         self.load, self.load_reported_at = load, now
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -1,13 +1,18 @@
-"""Servers that answer twice."""
+"""Servers that answer twice, close new connections, or never respond."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 
+from fuchsiatrack.gateway.retrypolicy import MAX_FAILED_CONNECTS, FailedSend, retry_delay
+from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.routing.errors import ErrorReason
 from tests.fleet import Fleet, route, run_fleet
 
 Respond = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -128,3 +133,77 @@
         status, _, _ = await fleet.call("/audit/2", method="POST", body=b"x")
         assert status == 502
         assert count == 2
+
+
+class TestConnectionLimit:
+    """A server at its maximum of connections resets further ones right after accepting them."""
+
+    async def test_order_is_refused_as_not_run(self, fleet: Fleet):
+        async def respond(reader, writer):
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+        server = await _start(fleet, respond, kind="unsafe")
+        status, _, headers = await fleet.call("/audit/1", method="POST", body=b"order")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert server.connection_count <= MAX_FAILED_CONNECTS
+
+
+class TestSilentServers:
+    """A server never responds to a request that it can't queue."""
+
+    async def test_silence_lowers_the_limit_like_a_rejection(self, fleet: Fleet):
+        async def respond(reader, writer):
+            await _read_request_id(reader)
+            await reader.read()
+
+        await _start(fleet, respond)
+        queue = fleet.daemons["entry-1"]._queues.get("raw-0", 4, 1)
+        before = queue.limit.rate(12, 50)
+        status, _, _ = await fleet.call("/audit/1", deadline=600)
+        assert status == 504
+        assert queue.limit.rate(12, 50) < before
+
+
+def _failed_send(**changes: object) -> FailedSend:
+    fields = {
+        "reason": ErrorReason.SHED,
+        "verdict": Verdict.NOT_RUN,
+        "is_idempotent": True,
+        "can_resend": True,
+        "is_only_server": True,
+        "sends": 1,
+        "failed_connects": 0,
+        "service_time": 100.0,
+        "time_to_objective": 400,
+        "time_left": 1_200,
+    }
+    return FailedSend(**{**fields, **changes})
+
+
+class TestRetryDelay:
+    """Whether and when a request is sent again."""
+
+    def test_server_that_rejected_gets_it_again_after_a_service_time(self):
+        assert retry_delay(_failed_send()) == 100
+
+    def test_retry_that_would_miss_the_objective_is_not_made(self):
+        assert retry_delay(_failed_send(time_to_objective=190)) is None
+
+    def test_late_request_is_held_to_its_deadline(self):
+        assert retry_delay(_failed_send(time_to_objective=50)) == 100
+
+    def test_other_server_is_tried_at_once(self):
+        assert retry_delay(_failed_send(is_only_server=False)) == 4
+
+    def test_connects_are_spaced_and_bounded(self):
+        delays = [
+            retry_delay(_failed_send(reason=ErrorReason.CONNECTION, sends=0, failed_connects=count))
+            for count in range(1, MAX_FAILED_CONNECTS + 1)
+        ]
+        assert delays == [20, 40, 80, None]
+
+    @pytest.mark.parametrize("verdict", [Verdict.RAN, Verdict.MAY_HAVE_RUN])
+    def test_order_that_may_have_run_is_never_repeated(self, verdict):
+        assert retry_delay(_failed_send(is_idempotent=False, verdict=verdict)) is None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -336,8 +336,8 @@
         daemon = fleet.daemons["entry-1"]
         acquire = daemon._connections.acquire
 
-        async def acquire_slowly(server: str, address: str, max_idle: int):
-            connection = await acquire(server, address, max_idle)
+        async def acquire_slowly(server: str, address: str, max_idle: int, settle: bool):
+            connection = await acquire(server, address, max_idle, settle)
             if server == "booking-0":
                 fleet.servers["booking-0"].withdraw()
                 await _wait_for(lambda: "booking-0" not in _listed(fleet))
