Answer requests that arrive as a planned stop begins

Callers whose request was just arriving saw their connection reset: when a stopping daemon stopped waiting for new requests, it closed each connection without a request in progress, also with a request that had been received and not yet read, and one that had been accepted a moment before.

Change: connections stay open for 300 ms after the listener is closed, and what has arrived is read before the idle ones are closed; responses close their connections, as before. Both cases of the new test failed before.

--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -16,6 +16,9 @@
 # Longest header line; operators currently allow callers 16 KB.
 MAX_HEADER_BYTES = 65_536
 BACKLOG_CONNECTIONS = 1_024
+# At a stop, connections stay open for this long after the listener is closed: one that was accepted
+# just before has its first request still under way.
+QUIET_PERIOD_MS = 300
 
 log = logging.getLogger(__name__)
 
@@ -65,12 +68,13 @@
         self._is_draining = True
 
     async def stop(self, timeout: int) -> None:
-        """Stop accepting requests, wait up to *timeout* ms for those in flight, and close."""
+        """Stop accepting connections, wait up to *timeout* ms for requests, and close."""
         for site in tuple(self._runner.sites):
             await site.stop()
-        self._close_idle()
         try:
             async with asyncio.timeout(timeout / 1_000):
+                await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
+                await self._close_idle()
                 await self._all_idle.wait()
         except TimeoutError:
             log.warning(
@@ -80,8 +84,12 @@
         await asyncio.sleep(0.05)
         await self._runner.cleanup()
 
-    def _close_idle(self) -> None:
+    async def _close_idle(self) -> None:
         """Close idle connections; a request arriving on one now might not finish in time."""
+        # The first pause lets the event loop read what has arrived, the second one lets the
+        # handlers of requests in it begin.
+        for _ in range(2):
+            await asyncio.sleep(0)
         idle = [item for item in self._server.connections if item not in self._busy_connections]
         for connection in idle:
             connection.force_close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -447,6 +447,28 @@
             lambda: all(any(item.owns(k) for item in fleet.servers.values()) for k in keys), 7.5
         )
 
+    @pytest.mark.parametrize("sent_before", [True, False])
+    async def test_request_that_arrives_as_the_stop_begins_is_answered(
+        self, fleet: Fleet, sent_before: bool
+    ):
+        """Guards against cutting off requests on connections that only seem to be idle."""
+        reader, writer = await asyncio.open_connection(*_caller_endpoint(fleet))
+        head = f"GET /reads/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: stop\r\n\r\n".encode()
+        if sent_before:
+            writer.write(head)
+            await asyncio.wait_for(reader.readuntil(b"stop"), 2)
+        listener = fleet.daemons["entry-1"]._listener
+        listener.start_draining()
+        stopping = asyncio.create_task(listener.stop(3_000))
+        if not sent_before:
+            # The connection has just been accepted, and its first request is under way.
+            await asyncio.sleep(0.05)
+        writer.write(head)
+        response = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        await stopping
+        assert b"200 OK" in response and response.endswith(b" stop")
+
     async def test_new_leader_keeps_the_owners(self, fleet: Fleet):
         await fleet.add_daemon("entry-2")
         await fleet.wait_ready()
