Retry at a full server once a slot is free, until the deadline

A retry waited a whole service time and only if it could still meet the objective. It now waits until one of the server's slots is likely to be free (service time over slots), and is given up only if it can't meet the deadline: a late answer is still an answer.

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -122,7 +122,6 @@
         self._excluded_servers: frozenset[str] = frozenset()
         self._tried_servers: set[str] = set()
         self._failed_connects = 0
-        self._objective_at = 0
         self._may_have_run = False
         self._failed_response: web.Response | None = None
         self._service: RoutedService | None = None
@@ -156,7 +155,6 @@
             route.timeout if request_metadata.time_left is None else request_metadata.time_left
         )
         self._deadline = self._started_at + min(time_left - RESPONSE_MARGIN_MS, route.timeout)
-        self._objective_at = self._started_at + route.objective
         self._dependencies.find_budget(service).record_request()
         # Kept for the whole request, since a newer configuration may remove the service.
         self._service = table.services[service]
@@ -252,6 +250,7 @@
     def _failed_send(
         self, request_error: RequestError, route: Route, entry: ServerEntry
     ) -> FailedSend:
+        stats = self._dependencies.stats.get(entry.id, entry.slots)
         return FailedSend(
             reason=request_error.reason,
             verdict=request_error.verdict,
@@ -260,8 +259,8 @@
             is_only_server=self._service.keyed,
             sends=self.outcome.sends,
             failed_connects=self._failed_connects,
-            service_time=self._dependencies.stats.get(entry.id, entry.slots).service_time,
-            time_to_objective=self._objective_at - self._clock.now(),
+            slots=stats.slots,
+            service_time=stats.service_time,
             time_left=self._time_left,
         )
 
--- a/src/fuchsiatrack/gateway/retrypolicy.py
+++ b/src/fuchsiatrack/gateway/retrypolicy.py
@@ -22,8 +22,7 @@
     """A send without a usable response; times are in milliseconds.
 
     `is_only_server` tells whether a retry would go to the same server, as the owner of the
-    request's key.  `service_time` is the mean one of that server, and `time_to_objective` is what
-    is left until the route's objective, negative after it.
+    request's key, with the given `slots` and mean `service_time`.
     """
 
     reason: ErrorReason
@@ -33,8 +32,8 @@
     is_only_server: bool
     sends: int
     failed_connects: int
+    slots: int
     service_time: float
-    time_to_objective: int
     time_left: int
 
 
@@ -62,12 +61,7 @@
     if failed_send.failed_connects:
         delay = RECONNECT_DELAY_MS * 2 ** (failed_send.failed_connects - 1)
     elif failed_send.reason is ErrorReason.SHED:
-        delay = int(failed_send.service_time)
+        delay = int(failed_send.service_time / max(1, failed_send.slots))
     else:
         delay = OTHER_SERVER_DELAY_MS * failed_send.sends
-    time_for_delay = (
-        failed_send.time_to_objective
-        if failed_send.time_to_objective > failed_send.service_time
-        else failed_send.time_left
-    ) - failed_send.service_time
-    return delay if delay < time_for_delay else None
+    return delay if delay + failed_send.service_time < failed_send.time_left else None
