--- a/src/fuchsiatrack/gateway/admission.py
+++ b/src/fuchsiatrack/gateway/admission.py
@@ -13,10 +13,11 @@
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
 
-# Limit while nothing is known of the server's load, if few daemons share it.
+# Limit while nothing is known of the server's load.
 INITIAL_LIMIT_REQUESTS = 4.0
-# The initial limits of all daemons together are at most this multiple of the server's slots, or 1
-# each: when a key turns hot, all daemons send to its owner before the first response tells of it.
+# The initial limits of all daemons at a server of a keyed service are together at most this
+# multiple of its slots, or 1 each: when a key turns hot, all of them send to its owner before the
+# first response tells of it.
 INITIAL_LIMIT_SLOTS_RATIO = 8.0
 # Added to the limit after a response if fewer requests than half the server's slots wait there;
 # subtracted if more than its slots wait, which adds one service time.  Limits below 0.5 double
@@ -34,8 +35,13 @@
 AFFORDABLE_WAIT_RATIO = 0.8
 
 
-def initial_limit(slots: int, daemon_count: int) -> float:
-    """Return the limit of one of *daemon_count* daemons at a server of which nothing is known."""
+def initial_limit(is_keyed: bool, slots: int, daemon_count: int) -> float:
+    """Return the limit of one of *daemon_count* daemons at a server of which nothing is known.
+
+    Requests of a service without keys go to other servers instead, so that no server is hot.
+    """
+    if not is_keyed:
+        return INITIAL_LIMIT_REQUESTS
     share = INITIAL_LIMIT_SLOTS_RATIO * slots / max(1, daemon_count)
     return min(INITIAL_LIMIT_REQUESTS, max(1.0, share))
 
@@ -255,12 +261,11 @@
         self._clock = clock
         self._queues: dict[str, AdmissionQueue] = {}
 
-    def get(self, server: str, slots: int, daemon_count: int) -> AdmissionQueue:
-        """Return the queue of *server*, creating it if necessary."""
+    def get(self, server: str, initial: float) -> AdmissionQueue:
+        """Return the queue of *server*, creating it with *initial* as its limit if necessary."""
         queue = self._queues.get(server)
         if queue is None:
-            queue = AdmissionQueue(self._clock, initial_limit(slots, daemon_count))
-            self._queues[server] = queue
+            queue = self._queues[server] = AdmissionQueue(self._clock, initial)
         return queue
 
     def keep_only(self, listed: frozenset[str]) -> None:
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -12,7 +12,12 @@
 from aiohttp import web
 
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
-from fuchsiatrack.gateway.admission import AdmissionQueue, AdmissionQueues, QueuedRequest
+from fuchsiatrack.gateway.admission import (
+    AdmissionQueue,
+    AdmissionQueues,
+    QueuedRequest,
+    initial_limit,
+)
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
 from fuchsiatrack.gateway.retrybudget import SharedRetryBudget
@@ -286,7 +291,8 @@
 
     def _queue(self, entry: ServerEntry) -> AdmissionQueue:
         daemon_count = self._dependencies.daemon_count()
-        return self._dependencies.queues.get(entry.id, entry.slots, daemon_count)
+        initial = initial_limit(self._service.keyed, entry.slots, daemon_count)
+        return self._dependencies.queues.get(entry.id, initial)
 
     def _check_current(self, entry: ServerEntry, selection_request: SelectionRequest) -> None:
         """Raise RequestError if *entry* may not get the request any more."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,6 +12,7 @@
     ConcurrencyLimit,
     QueuedRequest,
     can_meet_deadline,
+    initial_limit,
     next_request_index,
 )
 from fuchsiatrack.gateway.headers import ReportedLoad
@@ -50,6 +51,15 @@
         assert limit.current(5) == 5
         assert limit.current(1) == 1
 
+    @pytest.mark.parametrize(
+        ("is_keyed", "daemon_count", "expected"),
+        [(True, 9, 3.56), (True, 195, 1.0), (True, 1, 4.0), (False, 195, 4.0)],
+    )
+    def test_initial_limits_of_many_daemons_do_not_flood_a_hot_keys_owner(
+        self, is_keyed, daemon_count, expected
+    ):
+        assert initial_limit(is_keyed, 4, daemon_count) == pytest.approx(expected, abs=0.01)
+
     def test_falls_after_a_rejection(self):
         limit = ConcurrencyLimit()
         before = limit.current(12)
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -159,7 +159,7 @@
             await reader.read()
 
         await _start(fleet, respond)
-        queue = fleet.daemons["entry-1"]._queues.get("raw-0", 4, 1)
+        queue = fleet.daemons["entry-1"]._queues.get("raw-0", 4.0)
         before = queue.limit.rate(12, 50)
         status, _, _ = await fleet.call("/audit/1", deadline=600)
         assert status == 504
