Close a new connection whose request ends while it settles

Found on reading: a caller that left in the few milliseconds in which a new connection waits for its reset left the connection open and unknown to the pool until the server closed it. The new test failed before.

--- a/src/fuchsiatrack/gateway/connectionpool.py
+++ b/src/fuchsiatrack/gateway/connectionpool.py
@@ -121,11 +121,18 @@
         set_keepalive(transport.get_extra_info("socket"))
         if settle:
             settle_time = int(SETTLE_FACTOR * (self._clock.now() - started_at))
-            await self._clock.sleep(min(SETTLE_MAX_MS, max(SETTLE_MIN_MS, settle_time)))
+            await self._settle(connection, settle_time)
             if not connection.is_usable:
                 raise ConnectFailed(f"{address}: connection reset after it was opened")
         return connection
 
+    async def _settle(self, connection: ServerConnection, duration: int) -> None:
+        try:
+            await self._clock.sleep(min(SETTLE_MAX_MS, max(SETTLE_MIN_MS, duration)))
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+
 
 def _is_fresh(connection: ServerConnection, now: int, max_idle: int) -> bool:
     return connection.is_usable and now - connection.idle_since < min(
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -10,7 +11,11 @@
 
 import pytest
 
+from fuchsiatrack.gateway import connectionpool
+from fuchsiatrack.gateway.connectionpool import ConnectionPool
+from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.retrypolicy import MAX_FAILED_CONNECTS, FailedSend, retry_delay
+from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.routing.errors import ErrorReason
 from tests.fleet import Fleet, route, run_fleet
@@ -149,6 +154,26 @@
         assert float(headers["Retry-After"]) > 0
         assert server.connection_count <= MAX_FAILED_CONNECTS
 
+    async def test_connection_of_a_request_that_ends_meanwhile_is_closed(self, monkeypatch):
+        monkeypatch.setattr(connectionpool, "SETTLE_MIN_MS", 5_000)
+        monkeypatch.setattr(connectionpool, "SETTLE_MAX_MS", 5_000)
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        pool = ConnectionPool(SystemClock(), ResponseMemory())
+        opening = asyncio.create_task(pool.acquire("s", f"{host}:{port}", 0, settle=True))
+        await asyncio.sleep(0.05)
+        opening.cancel()
+        await asyncio.wait_for(closed.wait(), 2)
+        server.close()
+
 
 class TestSilentServers:
     """A server never responds to a request that it can't queue."""
