Let limits recover at once at a server with a free slot

A limit at its minimum took a daemon five responses with pauses of up to 1.5 s to reach 1 again, while the server idled. A response that reports a free slot and no queue now raises it to a half, from where a single request more is spaced by one service time. The new test failed before.

--- a/src/fuchsiatrack/gateway/admission.py
+++ b/src/fuchsiatrack/gateway/admission.py
@@ -27,6 +27,8 @@
 # A limit below 1 is the share of time in which the daemon has one request at the server, since
 # the daemons can outnumber a server's slots by up to about a hundred to one.
 MIN_LIMIT_REQUESTS = 0.05
+# The limit is at least this after a response of a server that has a free slot.
+FREE_SLOT_LIMIT_REQUESTS = 0.5
 # Bounds the pause at a limit below 1, so that the recovery of a server is detected.
 MAX_PAUSE_MS = 1_500
 # Applied to the limit when the server rejects a request for lack of capacity.
@@ -75,6 +77,9 @@
 
     def record_response(self, load: ReportedLoad | None, max_limit: int) -> None:
         """Update the limit after a response that reported *load*, None without a report."""
+        if load is not None and not load.waiting and load.running < load.slots:
+            # Steps from the minimum would leave the server idle for seconds after an overload.
+            self._limit = max(self._limit, FREE_SLOT_LIMIT_REQUESTS)
         if load is None or load.waiting * 2 < load.slots:
             self._limit += min(self._limit, LIMIT_INCREASE_REQUESTS)
         elif load.waiting > load.slots:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -66,6 +66,21 @@
         limit.record_rejection()
         assert limit.current(12) < before
 
+    def test_recovers_at_once_at_a_server_with_a_free_slot(self):
+        """Guards against a server that idles while its daemons pause after an overload."""
+        limit = ConcurrencyLimit()
+        for _ in range(12):
+            limit.record_rejection()
+        limit.record_response(ReportedLoad(3, 0, 4), 12)
+        assert limit.pause(300.0) == 0
+
+    def test_limit_of_a_full_server_recovers_in_steps(self):
+        limit = ConcurrencyLimit()
+        for _ in range(12):
+            limit.record_rejection()
+        limit.record_response(ReportedLoad(4, 1, 4), 12)
+        assert limit.pause(300.0) > 1_000
+
     def test_nine_daemons_share_one_busy_server(self):
         """The limits of nine daemons converge to about the four slots and one request each."""
         limits = [ConcurrencyLimit() for _ in range(9)]
