Log and count the limits that servers name

No request is treated differently yet.

A malformed value states nothing. A response without the header ends a limit only if the server ran its request, and only if the request was sent after the limit was last observed, since responses may overtake each other.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -30,6 +30,7 @@
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.model.routes import RoutedService
 
 # How long a stopping daemon keeps accepting requests: the load balancer polls readiness once a
@@ -63,6 +64,7 @@
         self._control_connections = ConnectionPool(self._clock, self._response_memory)
         self._stats = ServerStatsRegistry(self._clock)
         self._queues = AdmissionQueues(self._clock)
+        self._limits = LimitRegistry()
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._metrics = TextMetrics()
         self._traffic = TrafficCounter(self._metrics, settings.failure_domain)
@@ -198,6 +200,7 @@
             connections=self._connections,
             stats=self._stats,
             queues=self._queues,
+            limits=self._limits,
             directory=self._directory,
             metrics=self._metrics,
             traffic=self._traffic,
@@ -257,6 +260,8 @@
             listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
             self._connections.sweep(listed)
             self._queues.keep_only(frozenset(self._directory.entries))
+            incarnations = (item.incarnation for item in self._directory.entries.values())
+            self._limits.keep_only(incarnations, self._clock.now())
 
     def _read_gauges(self) -> dict[str, float]:
         table = self._configuration.current
@@ -269,6 +274,7 @@
             "servers_listed": len(self._directory.entries),
             "servers_draining": states.get(EntryState.DRAINING, 0),
             "servers_expired": states.get(EntryState.EXPIRED, 0),
+            "servers_limited": len(self._limits.rates),
             "callers_connected": self._listener.connection_count,
             "requests_in_flight": self._listener.in_flight,
             "response_bytes_incomplete": self._response_memory.total,
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -35,6 +35,7 @@
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
 from fuchsiatrack.routing.requestbody import RequestBody
@@ -75,6 +76,7 @@
     connections: ConnectionPool
     stats: ServerStatsRegistry
     queues: AdmissionQueues
+    limits: LimitRegistry
     directory: ServerDirectory
     metrics: Metrics
     traffic: TrafficCounter
@@ -460,6 +462,7 @@
         if response_metadata.load is not None:
             stats.record_load(response_metadata.load, now)
         queue = self._queue(entry)
+        self._record_limit(entry, response_metadata, started_at)
         if self._proves_not_run(response_metadata, connection):
             if response_metadata.misrouted:
                 raise self._misrouted_error(entry, response_metadata)
@@ -482,6 +485,20 @@
             raise self._send_error(ErrorReason.SERVER_ERROR, Verdict.RAN)
         return self._relay_response(response)
 
+    def _record_limit(
+        self, entry: ServerEntry, response_metadata: ResponseMetadata, sent_at: int
+    ) -> None:
+        """Record the limit that the server of *entry* states in a response of its own."""
+        is_own = response_metadata.responding_server in ("", entry.id)
+        if (
+            response_metadata.limit is not None
+            and is_own
+            and response_metadata.request_id == self.outcome.request_id
+        ):
+            self._dependencies.limits.record_response(
+                entry.incarnation, response_metadata.limit.rate, sent_at, self._clock.now()
+            )
+
     def _misrouted_error(
         self, entry: ServerEntry, response_metadata: ResponseMetadata
     ) -> RequestError:
--- a/src/fuchsiatrack/gateway/headers.py
+++ b/src/fuchsiatrack/gateway/headers.py
@@ -37,6 +37,13 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportedLimit:
+    """Requests per second that a server takes from all daemons together; None if any number."""
+
+    rate: float | None
+
+
 @dataclasses.dataclass(frozen=True)
 class ResponseMetadata:
     """Metadata from the headers of a server's response.
@@ -44,7 +51,8 @@
     `not_executed` means that the request did not and will not run.  `misrouted` means that the
     server rejected it because it belongs to another one; `responding_server` is then the id of the
     server at this address, which is the expected one if it merely doesn't own the key.
-    `has_server_signature` tells whether the response carries the server's signature.
+    `has_server_signature` tells whether the response carries the server's signature.  `limit` is
+    None if the response doesn't tell whether the server sets a limit.
     """
 
     request_id: str
@@ -53,6 +61,7 @@
     misrouted: bool
     responding_server: str
     load: ReportedLoad | None
+    limit: ReportedLimit | None
 
 
 class HeaderCodec(abc.ABC):
--- /dev/null
+++ b/src/fuchsiatrack/limits/registry.py
@@ -0,0 +1,94 @@
+"""The request rates to which backend servers limit all daemons together."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from collections.abc import Iterable
+
+from fuchsiatrack.directory.servers import ServerIncarnation
+
+# The end of a limit is told to other daemons for this long, so that none restores the limit.
+END_MEMORY_MS = 5_000
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitObservation:
+    """What a response of `server` stated about its limit.
+
+    `rate` is in requests per second, None if the server sets no limit.  `observed_at` is a time of
+    this daemon's clock, in milliseconds.
+    """
+
+    server: ServerIncarnation
+    rate: float | None
+    observed_at: int
+
+
+class LimitRegistry:
+    """The latest observation of each server that sets a limit or has recently ended one."""
+
+    def __init__(self) -> None:
+        self._observations: dict[ServerIncarnation, LimitObservation] = {}
+
+    @property
+    def observations(self) -> tuple[LimitObservation, ...]:
+        """The latest observation of each server."""
+        return tuple(self._observations.values())
+
+    @property
+    def rates(self) -> dict[ServerIncarnation, float]:
+        """The limits in force, in requests per second, by server."""
+        return {
+            server: item.rate
+            for server, item in self._observations.items()
+            if item.rate is not None
+        }
+
+    def find(self, server: ServerIncarnation) -> float | None:
+        """Return the limit of *server* in requests per second, None if it sets none."""
+        observation = self._observations.get(server)
+        return observation.rate if observation is not None else None
+
+    def record_response(
+        self, server: ServerIncarnation, rate: float | None, sent_at: int, now: int
+    ) -> None:
+        """Record what a response received *now* stated, to a request sent at *sent_at*.
+
+        Responses may overtake each other, so that one without a limit ends only a limit that was
+        observed before its request was sent.
+        """
+        known = self._observations.get(server)
+        if rate is None and (known is None or known.rate is None or sent_at <= known.observed_at):
+            return
+        self._put(LimitObservation(server, rate, now))
+
+    def merge(self, observation: LimitObservation) -> None:
+        """Record an observation of another daemon unless a later one is known."""
+        known = self._observations.get(observation.server)
+        if known is None and observation.rate is None:
+            return
+        if known is None or known.observed_at < observation.observed_at:
+            self._put(observation)
+
+    def keep_only(self, listed: Iterable[ServerIncarnation], now: int) -> None:
+        """Drop servers that are not in *listed*, and limits that ended some time ago."""
+        kept = frozenset(listed)
+        self._observations = {
+            server: item
+            for server, item in self._observations.items()
+            if server in kept and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
+        }
+
+    def _put(self, observation: LimitObservation) -> None:
+        known = self.find(observation.server)
+        self._observations[observation.server] = observation
+        if known != observation.rate:
+            fields = {
+                "server": observation.server.server,
+                "rate_per_s": observation.rate,
+                "before_per_s": known,
+            }
+            log.info("server limit changed", extra=fields)
--- a/src/fuchsiatrack/platform/headers.py
+++ b/src/fuchsiatrack/platform/headers.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import re
+from collections.abc import Mapping, Sequence
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from fuchsiatrack.gateway.headers import (
     BadRequest,
     HeaderCodec,
+    ReportedLimit,
     ReportedLoad,
     RequestMetadata,
     ResponseMetadata,
@@ -27,9 +29,13 @@
 NOT_EXECUTED = "X-Not-Executed"
 # Numbers of running requests, waiting requests and concurrency slots, separated by commas.
 LOAD = "X-Instance-Load"
+# Requests per second that the server takes from all daemons together, while it sends the header.
+LIMIT = "Server-Limit"
 WRONG_SERVER_STATUS = 421
 LAST_KEY = 65_535
 
+_DECIMAL = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+
 
 class PlatformHeaderCodec(HeaderCodec):
     """Codec of the headers that the platform's callers and backend servers use."""
@@ -50,13 +56,15 @@
 
     def parse_response(self, status: int, headers: CIMultiDictProxy[str]) -> ResponseMetadata:
         misrouted = status == WRONG_SERVER_STATUS
+        is_signed = SERVER_SIGNATURE in headers
         return ResponseMetadata(
             request_id=headers.get(REQUEST_ID, ""),
-            has_server_signature=SERVER_SIGNATURE in headers and "Content-Encoding" not in headers,
+            has_server_signature=is_signed and "Content-Encoding" not in headers,
             not_executed=NOT_EXECUTED in headers or misrouted,
             misrouted=misrouted,
             responding_server=headers.get(RESPONDING_SERVER, ""),
             load=_parse_load(headers.get(LOAD, "")),
+            limit=_parse_limit(headers.getall(LIMIT, ()), is_signed),
         )
 
     def response_headers(self, received: CIMultiDictProxy[str]) -> CIMultiDict[str]:
@@ -91,3 +99,16 @@
         return None
     running, waiting, slots = map(int, parts)
     return ReportedLoad(running, waiting, slots)
+
+
+def _parse_limit(values: Sequence[str], is_signed: bool) -> ReportedLimit | None:
+    """Return what the values of the limit header state.
+
+    A malformed value states nothing.  A missing one states that there is no limit only if the
+    server ran the request, since a rejection may lack the header.
+    """
+    if not values:
+        return ReportedLimit(None) if is_signed else None
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        return None
+    return ReportedLimit(float(values[0]))
--- /dev/null
+++ b/tests/test_limit_header.py
@@ -0,0 +1,72 @@
+"""The header in which a backend server names its limit."""
+
+from __future__ import annotations
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from fuchsiatrack.directory.servers import ServerIncarnation
+from fuchsiatrack.gateway.headers import ReportedLimit
+from fuchsiatrack.limits.registry import LimitObservation, LimitRegistry
+from fuchsiatrack.platform.headers import PlatformHeaderCodec
+
+SERVER = ServerIncarnation("s1", 1)
+
+
+def _parse(*values: str, signed: bool = True) -> ReportedLimit | None:
+    headers = CIMultiDict({"X-Gateway-Stamp": "s"} if signed else {})
+    headers.extend([("Server-Limit", value) for value in values])
+    return PlatformHeaderCodec().parse_response(200, CIMultiDictProxy(headers)).limit
+
+
+class TestLimitHeader:
+    """What a response states about the limit of its server."""
+
+    @pytest.mark.parametrize(("value", "rate"), [("8.8", 8.8), ("12", 12.0), ("0.25", 0.25)])
+    def test_decimal_number_is_the_limit(self, value: str, rate: float):
+        assert _parse(value) == ReportedLimit(rate)
+        assert _parse(value, signed=False) == ReportedLimit(rate)
+
+    @pytest.mark.parametrize(
+        "value", ["", "-1", "+1", "nan", "inf", "1e3", "8,5", "0x10", "1.", "٣", "9" * 400, "1 2"]
+    )
+    def test_malformed_value_states_nothing(self, value: str):
+        assert _parse(value) is None
+
+    def test_several_values_state_nothing(self):
+        assert _parse("1", "2") is None
+
+    def test_only_a_signed_response_without_the_header_states_no_limit(self):
+        assert _parse() == ReportedLimit(None)
+        assert _parse(signed=False) is None
+
+
+class TestLimitRegistry:
+    """Which observation of a server's limit counts."""
+
+    def test_limit_ends_with_a_response_to_a_later_request(self):
+        registry = LimitRegistry()
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        registry.record_response(SERVER, None, sent_at=140, now=160)
+        assert registry.find(SERVER) == 5.0
+        registry.record_response(SERVER, None, sent_at=151, now=170)
+        assert registry.find(SERVER) is None
+
+    def test_later_observation_of_another_daemon_counts(self):
+        registry = LimitRegistry()
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        registry.merge(LimitObservation(SERVER, 9.0, 149))
+        assert registry.find(SERVER) == 5.0
+        registry.merge(LimitObservation(SERVER, 2.0, 151))
+        assert registry.find(SERVER) == 2.0
+
+    def test_next_incarnation_starts_without_a_limit(self):
+        registry = LimitRegistry()
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        assert registry.find(ServerIncarnation("s1", 2)) is None
+
+    def test_server_that_is_not_listed_is_forgotten(self):
+        registry = LimitRegistry()
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        registry.keep_only([ServerIncarnation("s1", 2)], 200)
+        assert not registry.observations
