--- a/src/fuchsiatrack_standins/fleet/server.py
+++ b/src/fuchsiatrack_standins/fleet/server.py
@@ -26,6 +26,22 @@
     expires_at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """The arrival of one request at `at_s`, a time of the monotonic clock."""
+
+    request_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class NamedLimit:
+    """A value of the header `Server-Limit` and since when the server sends it; None for none."""
+
+    value: str | None
+    since_s: float
+
+
 @dataclasses.dataclass
 class Run:
     """One request that the server started to execute.
@@ -48,10 +64,11 @@
 
     It reports its load in the header `X-Instance-Load` of its responses to requests.
 
-    `runs` lists the requests it started to execute, `grant_requests` the grant requests with their
-    time in seconds of the monotonic clock, `release_requests` the release requests, and `misrouted`
-    counts requests for another server or for keys that it does not own.  `left_at_s` is the time of
-    the monotonic clock when the log service accepted that the server leaves, None before.
+    `arrivals` lists all requests, `runs` those it started to execute, `grant_requests` the grant
+    requests with their time in seconds of the monotonic clock, `release_requests` the release
+    requests, and `misrouted` counts requests for another server or for keys that it does not own.
+    `limits` lists the limits that it named, in order.  `left_at_s` is the time of the monotonic
+    clock when the log service accepted that the server leaves, None before.
 
     Faults: `rejects_all` rejects every request as not executed, `status` replaces the status of
     responses, and `response_handler` is a coroutine function of request and headers that returns
@@ -76,6 +93,8 @@
         self.slots = slots
         self.work_ms = work_ms
         self.started_at_ms = time.time_ns() // 1_000_000
+        self.arrivals: list[Arrival] = []
+        self.limits: list[NamedLimit] = []
         self.runs: list[Run] = []
         self.grants: list[Grant] = []
         self.grant_requests: list[tuple[float, dict]] = []
@@ -133,6 +152,10 @@
         if self.left_at_s is None:
             self.left_at_s = time.monotonic()
 
+    def name_limit(self, value: str | None) -> None:
+        """Send *value* as `Server-Limit` in every response to a request, or no header if None."""
+        self.limits.append(NamedLimit(value, time.monotonic()))
+
     def owns(self, key: int) -> bool:
         """Return whether the server has an unexpired grant for *key*."""
         now_s = time.monotonic()
@@ -195,6 +218,7 @@
     async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at_s = time.monotonic()
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        self.arrivals.append(Arrival(headers["X-Request-Id"], arrived_at_s))
         expected = request.headers.get("X-Expect-Instance", self.id)
         key = int(request.headers["X-Shard-Key"]) if "X-Shard-Key" in request.headers else None
         if expected != self.id or (self.keyed and (key is None or not self.owns(key))):
@@ -218,6 +242,8 @@
         try:
             await asyncio.sleep(self.work_ms / 1_000)
             headers["X-Gateway-Stamp"] = f"stamp.{self.id}"
+            if self.limits and self.limits[-1].value is not None:
+                headers["Server-Limit"] = self.limits[-1].value
             headers["X-Instance-Load"] = f"{self._in_flight},{self._queue_length},{self.slots}"
             if self.response_handler is not None:
                 return await self.response_handler(request, headers)
--- /dev/null
+++ b/tests/test_server_limits.py
@@ -0,0 +1,101 @@
+"""Backend servers that name a limit on the requests of all daemons together."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import itertools
+
+import pytest
+
+from tests.fleet import Fleet, route, run_fleet
+
+# The rule LIMIT of the users' platform: in any `WINDOW_S`, a server gets at most `EXCESS_RATIO`
+# times what its limit allows, and `EXCESS_REQUESTS` more.
+WINDOW_S = 4.0
+EXCESS_RATIO = 1.5
+EXCESS_REQUESTS = 5
+# The rule holds from this time after the server first named its limit.
+CONTACT_S = 3.0
+DAEMONS = 3
+
+
+def allowed_requests(rate: float) -> int:
+    """Return the requests that a server with a limit of *rate* a second may get in a window."""
+    return int(EXCESS_RATIO * rate * WINDOW_S + EXCESS_REQUESTS)
+
+
+def most_requests(times_s: list[float], since_s: float) -> int:
+    """Return the largest number of *times_s* in one window that begins at or after *since_s*."""
+    ordered = sorted(item for item in times_s if item >= since_s)
+    return max(
+        (
+            bisect.bisect_right(ordered, start + WINDOW_S) - index
+            for index, start in enumerate(ordered)
+        ),
+        default=0,
+    )
+
+
+class Load:
+    """Callers that send requests through all daemons at a fixed pace; `statuses` are in order."""
+
+    def __init__(self, fleet: Fleet, path: str, keys: tuple[int | None, ...]) -> None:
+        self._fleet = fleet
+        self._path = path
+        self._keys = itertools.cycle(keys)
+        self._vms = itertools.cycle(fleet.settings)
+        self.statuses: list[int] = []
+
+    async def run(self, rate: float, duration_s: float) -> None:
+        """Send *rate* requests a second for *duration_s*, then wait for their responses."""
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(int(rate * duration_s)):
+                tasks.create_task(self._call(next(self._vms), next(self._keys)))
+                await asyncio.sleep(1 / rate)
+
+    async def _call(self, vm: str, key: int | None) -> None:
+        status, _, _ = await self._fleet.call(self._path, vm, key=key, deadline=1_000)
+        self.statuses.append(status)
+
+
+@pytest.fixture
+async def fleet():
+    """Yield three daemons with a keyed service of one server and one without keys of two."""
+    async with run_fleet() as running:
+        routes = [
+            route("stock", "/stock/", "safe", "stock"),
+            route("reads", "/reads/", "safe", "catalogue"),
+        ]
+        running.publish(1, routes, sharded=("stock",))
+        await running.add_server("stock-0", "stock", keyed=True)
+        for index in range(2):
+            await running.add_server(f"catalogue-{index}", "catalogue")
+        for index in range(DAEMONS):
+            await running.add_daemon(f"entry-{index}")
+        await running.wait_ready()
+        yield running
+
+
+class TestNamedLimit:
+    """The limit holds for the sum over all daemons."""
+
+    async def test_owner_of_keys_gets_no_more_than_its_limit_from_all_daemons(self, fleet: Fleet):
+        server = fleet.servers["stock-0"]
+        server.name_limit("4.0")
+        load = Load(fleet, "/stock/", tuple(range(0, 65_536, 1_024)))
+        await load.run(30, CONTACT_S + WINDOW_S + 1)
+        since_s = server.limits[0].since_s + CONTACT_S
+        arrivals = [item.at_s for item in server.arrivals]
+        assert most_requests(arrivals, since_s) <= allowed_requests(4.0)
+        assert set(load.statuses) == {200, 503}
+
+    async def test_requests_without_keys_go_to_servers_with_room(self, fleet: Fleet):
+        limited = fleet.servers["catalogue-0"]
+        limited.name_limit("2")
+        load = Load(fleet, "/reads/", (None,))
+        await load.run(40, CONTACT_S + WINDOW_S + 1)
+        since_s = limited.limits[0].since_s + CONTACT_S
+        arrivals = [item.at_s for item in limited.arrivals]
+        assert most_requests(arrivals, since_s) <= allowed_requests(2.0)
+        assert set(load.statuses) == {200}
