Keep the limits that servers name, in the sum over all daemons

Class: a limit that a server sets on all daemons together, of which each daemon knows only its own part.

Each send to such a server now takes a permit. The leader issues the permits of all daemons by demand, as turns reserved ahead: the decision on a request is known after one round trip, so that what can't be served is rejected at once with the time of the next turn, and requests without a key go to another server. Without a leader, each daemon uses 0.8 of an equal share with a random phase. Retries take permits like first sends; a permit whose request isn't sent goes to the next one. Limits travel with the load reports and their acknowledgements, so that a limit that one daemon sees reaches a new leader and daemons that start. A leader of the last build issues none; the daemons use their shares.

--- a/src/fuchsiatrack/gateway/admission.py
+++ b/src/fuchsiatrack/gateway/admission.py
@@ -123,7 +123,12 @@
 def can_meet_deadline(
     queued_request: QueuedRequest, now: int, expected_wait: float, service_time: float
 ) -> bool:
-    """Return whether *queued_request* can meet its soft deadline after *expected_wait* ms.
+    """Return whether *queued_request* can meet its soft deadline after *expected_wait* ms."""
+    return expected_wait <= affordable_wait(queued_request, now, service_time)
+
+
+def affordable_wait(queued_request: QueuedRequest, now: int, service_time: float) -> float:
+    """Return how long *queued_request* can wait and still meet its soft deadline, in ms.
 
     A request that would miss its soft deadline even without a wait is held to its deadline
     instead.
@@ -133,8 +138,7 @@
         if now + service_time < queued_request.soft_deadline
         else queued_request.deadline
     )
-    affordable_wait = applicable_deadline - now - service_time
-    return expected_wait <= max(affordable_wait * AFFORDABLE_WAIT_RATIO, 0)
+    return max((applicable_deadline - now - service_time) * AFFORDABLE_WAIT_RATIO, 0)
 
 
 class AdmissionQueue:
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -30,6 +30,7 @@
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter
+from fuchsiatrack.limits.permits import PermitPool
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.model.routes import RoutedService
 
@@ -86,6 +87,15 @@
             self._keyed_services,
             self._consumers,
             self._traffic,
+            self._limits,
+        )
+        self._permits = PermitPool(
+            self._limits,
+            self._range_service.permit_channel,
+            lambda: self._range_service.daemon_count,
+            self._clock,
+            self._rng,
+            self._metrics,
         )
         self._selectors = self._create_selectors()
         self._listener = CallerListener(self._create_dependencies(), self._metrics)
@@ -186,7 +196,14 @@
     def _create_selectors(self) -> dict[bool, ServerSelector]:
         """Return the selectors, by whether a service is keyed."""
         domain = self._settings.failure_domain
-        balanced = BalancedSelector(self._directory, self._stats, domain, self._clock, self._rng)
+        balanced = BalancedSelector(
+            self._directory,
+            self._stats,
+            domain,
+            self._clock,
+            self._rng,
+            self._permits.expected_delay,
+        )
         return {
             True: OwnerSelector(self._directory, self._range_service.ownership_cache, self._clock),
             False: balanced,
@@ -201,6 +218,7 @@
             stats=self._stats,
             queues=self._queues,
             limits=self._limits,
+            permits=self._permits,
             directory=self._directory,
             metrics=self._metrics,
             traffic=self._traffic,
@@ -260,8 +278,9 @@
             listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
             self._connections.sweep(listed)
             self._queues.keep_only(frozenset(self._directory.entries))
-            incarnations = (item.incarnation for item in self._directory.entries.values())
+            incarnations = [item.incarnation for item in self._directory.entries.values()]
             self._limits.keep_only(incarnations, self._clock.now())
+            self._permits.keep_only(incarnations)
 
     def _read_gauges(self) -> dict[str, float]:
         table = self._configuration.current
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 from aiohttp import web
 
@@ -16,6 +16,7 @@
     AdmissionQueue,
     AdmissionQueues,
     QueuedRequest,
+    affordable_wait,
     initial_limit,
 )
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
@@ -35,6 +36,7 @@
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.kernel.verdict import Verdict
+from fuchsiatrack.limits.permits import LimitReached, PermitPool
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
@@ -77,6 +79,7 @@
     stats: ServerStatsRegistry
     queues: AdmissionQueues
     limits: LimitRegistry
+    permits: PermitPool
     directory: ServerDirectory
     metrics: Metrics
     traffic: TrafficCounter
@@ -128,6 +131,9 @@
         self._deadline = 0
         self._excluded_servers: frozenset[str] = frozenset()
         self._tried_servers: set[str] = set()
+        # Servers that had no room within their limits when this request could have gone elsewhere.
+        self._limited_servers: frozenset[str] = frozenset()
+        self._waits_for_limit = False
         self._failed_connects = 0
         self._may_have_run = False
         self._failed_response: web.Response | None = None
@@ -207,11 +213,14 @@
     ) -> web.Response:
         selector = self._dependencies.find_selector(self._service)
         while True:
-            size = self._body.length or 0
-            selection_request = SelectionRequest(
-                service, request_metadata.key, size, self._deadline, self._excluded_servers
-            )
-            entry = await selector.select(selection_request)
+            try:
+                selection_request = self._selection_request(service, request_metadata.key)
+                entry = await selector.select(selection_request)
+            except RequestError:
+                if not self._limited_servers:
+                    raise
+                self._wait_for_limits()
+                continue
             self.outcome.server = entry.id
             try:
                 return await self._send(entry, route, request_metadata, selection_request)
@@ -220,6 +229,16 @@
                 if request_error.reason is ErrorReason.MOVED:
                     await selector.wait_for_change(selection_request, OWNERSHIP_CHANGE_WAIT_MS)
 
+    def _selection_request(self, service: str, key: int | None) -> SelectionRequest:
+        size = self._body.length or 0
+        return SelectionRequest(service, key, size, self._deadline, self._excluded_servers)
+
+    def _wait_for_limits(self) -> None:
+        """Select among the servers without room as well, and wait for room at the next one."""
+        self._excluded_servers -= self._limited_servers
+        self._limited_servers = frozenset()
+        self._waits_for_limit = True
+
     async def _prepare_retry(
         self, request_error: RequestError, route: Route, service: str, entry: ServerEntry
     ) -> None:
@@ -233,13 +252,18 @@
             "verdict": request_error.verdict.value,
             "left_ms": self._time_left,
         }
-        log.info("send failed", extra=fields)
+        if request_error.reason is not ErrorReason.SERVER_LIMIT:
+            log.info("send failed", extra=fields)
         delay = retry_delay(self._failed_send(request_error, route, entry))
         if delay is None:
             raise request_error
         if request_error.reason is ErrorReason.STALE_ROUTE:
             # Nothing was sent; another server is selected.
             return
+        if request_error.reason is ErrorReason.SERVER_LIMIT:
+            self._limited_servers |= {entry.id}
+            self._excluded_servers |= {entry.id}
+            return
         if request_error.reason is not ErrorReason.MOVED:
             self._excluded_servers |= {entry.id}
         if (
@@ -263,7 +287,7 @@
             verdict=request_error.verdict,
             is_idempotent=route.idempotent,
             can_resend=self._body.can_resend,
-            is_only_server=self._service.keyed,
+            is_only_server=self._service.keyed or self._waits_for_limit,
             sends=self.outcome.sends,
             failed_connects=self._failed_connects,
             slots=stats.slots,
@@ -282,14 +306,42 @@
         stats = self._dependencies.stats.get(entry.id, entry.slots)
         queue = self._queue(entry)
         connection_share = self._connection_share()
-        await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
+        async with self._permit(entry, route, stats):
+            await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
+            try:
+                self._check_current(entry, selection_request)
+                return await self._send_admitted(
+                    entry, route, request_metadata, selection_request, connection_share
+                )
+            finally:
+                queue.release(stats.service_time)
+
+    @contextlib.asynccontextmanager
+    async def _permit(
+        self, entry: ServerEntry, route: Route, stats: ServerStats
+    ) -> AsyncIterator[None]:
+        """Hold a permit within the server's limit, put back if nothing is sent."""
+        permits, sends_before = self._dependencies.permits, self.outcome.sends
         try:
-            self._check_current(entry, selection_request)
-            return await self._send_admitted(
-                entry, route, request_metadata, selection_request, connection_share
+            is_counted = await permits.acquire(
+                entry.incarnation, self._max_permit_delay(route, stats)
             )
+        except LimitReached as error:
+            raise RequestError(
+                ErrorReason.SERVER_LIMIT, retry_after_ms=error.retry_after
+            ) from error
+        try:
+            yield
         finally:
-            queue.release(stats.service_time)
+            if is_counted and self.outcome.sends == sends_before:
+                permits.put_back(entry.incarnation)
+
+    def _max_permit_delay(self, route: Route, stats: ServerStats) -> int:
+        """Return how long the request may wait for room within the limit of its server, in ms."""
+        if not self._service.keyed and not self._waits_for_limit:
+            return 0
+        queued_request = self._queued_request(route)
+        return int(affordable_wait(queued_request, self._clock.now(), stats.service_time))
 
     def _queue(self, entry: ServerEntry) -> AdmissionQueue:
         daemon_count = self._dependencies.daemon_count()
--- /dev/null
+++ b/src/fuchsiatrack/gateway/permitchannel.py
@@ -0,0 +1,93 @@
+"""Permits from the leader, by datagram or directly if this daemon leads."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from fuchsiatrack.directory.servers import ServerIncarnation
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.limits.issuer import Permit, PermitIssuer
+from fuchsiatrack.limits.permits import PermitChannel
+from fuchsiatrack.limits.registry import LimitNotice, LimitRegistry
+from fuchsiatrack.peers.permitmessages import PermitRequest, PermitResponse
+
+# Longest wait for the leader's decision: many round trips within a region, yet short enough to
+# serve the request without the leader.
+DECISION_TIMEOUT_MS = 100
+# A leader that sent no acknowledgement for this long is not asked.
+LEADER_SILENCE_MAX_MS = 1_000
+
+
+class LeaderPermitChannel(PermitChannel):
+    """Asks the leader, and issues permits while this daemon leads.
+
+    *find_leader* returns the address of the leader, None if there is none; *send* sends a request
+    to an address, and *is_leading* tells whether this daemon has a valid lease.
+    """
+
+    def __init__(
+        self,
+        registry: LimitRegistry,
+        clock: Clock,
+        find_leader: Callable[[], str | None],
+        send: Callable[[PermitRequest, str], None],
+        is_leading: Callable[[], bool],
+    ) -> None:
+        self._registry = registry
+        self._clock = clock
+        self._find_leader = find_leader
+        self._send = send
+        self._is_leading = is_leading
+        self._issuer = PermitIssuer(registry)
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[Permit]] = {}
+        self._heard_at: int | None = None
+
+    async def request(self, server: ServerIncarnation, max_delay: int) -> Permit | None:
+        now = self._clock.now()
+        if self._is_leading():
+            return self._issuer.request(server, max_delay, now)
+        leader = self._find_leader()
+        if leader is None or self._heard_at is None or now - self._heard_at > LEADER_SILENCE_MAX_MS:
+            return None
+        notice = next((item for item in self._registry.notices(now) if item.server == server), None)
+        return await self._ask(leader, notice or LimitNotice(server, None, 0), max_delay)
+
+    def record_ack(self, issues_permits: bool) -> None:
+        """Note that the leader responds; leaders of an earlier build issue no permits."""
+        self._heard_at = self._clock.now() if issues_permits else None
+
+    def start_term(self) -> None:
+        """Begin to issue permits, without any from an earlier term."""
+        self._issuer.clear()
+
+    def handle_request(self, request: PermitRequest) -> PermitResponse | None:
+        """Return the decision on another daemon's request, None unless this daemon leads."""
+        if not self._is_leading():
+            return None
+        now = self._clock.now()
+        self._registry.merge([request.notice], now)
+        permit = self._issuer.request(request.notice.server, request.max_delay, now)
+        return PermitResponse(request.number, permit)
+
+    def handle_response(self, response: PermitResponse) -> None:
+        """Pass the leader's decision to the request that waits for it."""
+        decision = self._pending.get(response.number)
+        if decision is not None and not decision.done():
+            decision.set_result(response.permit)
+
+    async def _ask(self, leader: str, notice: LimitNotice, max_delay: int) -> Permit | None:
+        number = next(self._numbers)
+        decision = self._pending[number] = asyncio.get_running_loop().create_future()
+        try:
+            self._send(PermitRequest(number, max_delay, notice), leader)
+            async with asyncio.timeout(DECISION_TIMEOUT_MS / 1_000):
+                return await decision
+        except TimeoutError:
+            # Not asked again before its next acknowledgement.
+            self._heard_at = None
+            return None
+        finally:
+            del self._pending[number]
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import functools
 import logging
 import random
@@ -12,11 +13,13 @@
 
 from fuchsiatrack.control.compactedlog import CompactedLog, StreamConsumer
 from fuchsiatrack.directory.servers import ServerDirectory
+from fuchsiatrack.gateway.permitchannel import LeaderPermitChannel
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.gateway.settings import GatewaySettings
 from fuchsiatrack.kernel import registry
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.peers.loadreports import (
     REPORT_PERIOD_MS,
     LoadReport,
@@ -74,8 +77,10 @@
         keyed_services: Callable[[], tuple[str, ...]],
         consumers: Mapping[str, StreamConsumer],
         traffic: TrafficCounter,
+        limits: LimitRegistry,
     ) -> None:
         self._settings = settings
+        self._limits = limits
         self._traffic = traffic
         self._incarnation = incarnation
         self._grant_client = grant_client
@@ -91,12 +96,21 @@
         self._is_resigning = False
         self._membership = MembershipTracker(clock)
         self._key_counts: dict[str, collections.Counter[int]] = {}
+        self.permit_channel = LeaderPermitChannel(
+            limits,
+            clock,
+            self._find_leader_address,
+            lambda request, address: self._protocol.send_permit_request(request, address),
+            lambda: self.leadership.has_valid_lease(),
+        )
         self._protocol = ReportProtocol(
             self._handle_report,
             self._handle_ack,
             self._handle_update,
             self._handle_change,
             self._handle_term_end_notice,
+            self.permit_channel.handle_request,
+            self.permit_channel.handle_response,
             self._count_datagram,
         )
         self._term_end_notice: TermEndNotice | None = None
@@ -221,6 +235,7 @@
         if term != self._controlled_term:
             self._stop_controllers()
             self._controlled_term = term
+            self.permit_channel.start_term()
         for service in self._keyed_services():
             if service not in self._controller_tasks:
                 controller = self._create_controller(service)
@@ -348,6 +363,7 @@
         }
         vm, incarnation = self._settings.vm, self._incarnation
         domain = self._settings.failure_domain
+        limits = self._limits.notices(self._clock.now())
         reports = []
         for service in self._keyed_services():
             listed = {entry.id for entry in self._directory.of_service(service)}
@@ -358,8 +374,12 @@
                     vm, incarnation, term, service, keys, service_times, self._offsets(), domain
                 )
             )
-        empty = LoadReport(vm, incarnation, term, offsets=self._offsets(), failure_domain=domain)
-        return reports or [empty]
+        if not reports:
+            reports = [
+                LoadReport(vm, incarnation, term, offsets=self._offsets(), failure_domain=domain)
+            ]
+        reports[0] = dataclasses.replace(reports[0], limits=limits)
+        return reports
 
     def _offsets(self) -> dict[str, int]:
         """Return the next offset of each stream, except ownership, which arrives by datagram."""
@@ -382,6 +402,8 @@
             return TermEndNotice(term_end_notice.term, self._extended_grants_remaining())
         if not self.leadership.has_valid_lease() or report.term != self.leadership.current.number:
             return None
+        now = self._clock.now()
+        self._limits.merge(report.limits, now)
         self._membership.record_report(report.vm)
         if address is not None:
             self._membership.record_address(report.vm, address, report.failure_domain)
@@ -398,8 +420,15 @@
             renewal_failing,
             self._offsets(),
             self.ownership_cache.revisions,
+            self._limits.notices(now),
         )
 
+    def _find_leader_address(self) -> str | None:
+        """Return the address of another daemon that leads, None if there is none."""
+        term = self.leadership.current
+        is_other = bool(term.report_address) and term.incarnation != self._incarnation
+        return term.report_address if is_other and not term.resigned else None
+
     def _handle_term_end_notice(self, notice: TermEndNotice) -> None:
         """Cap the inherited grants after the previous leader stopped."""
         if (
@@ -423,6 +452,9 @@
     def _handle_ack(self, ack: ReportAck) -> None:
         self.leadership.record_heartbeat(ack.term, ack.renewal_failing)
         self._last_ack_at = self._clock.now()
+        if ack.term == self.leadership.current.number:
+            self.permit_channel.record_ack(ack.limits is not None)
+        self._limits.merge(ack.limits or (), self._clock.now())
         self._observe_peer_offsets(ack.offsets)
         self._observe_revisions(ack.revisions)
         # A new leader has not yet received a report from every daemon.
--- a/src/fuchsiatrack/gateway/retrypolicy.py
+++ b/src/fuchsiatrack/gateway/retrypolicy.py
@@ -21,8 +21,8 @@
 class FailedSend:
     """A send without a usable response; times are in milliseconds.
 
-    `is_only_server` tells whether a retry would go to the same server, as the owner of the
-    request's key, with the given `slots` and mean `service_time`.
+    `is_only_server` tells whether a retry would go to the same server, for example as the owner of
+    the request's key, with the given `slots` and mean `service_time`.
     """
 
     reason: ErrorReason
@@ -52,6 +52,9 @@
         return None
     if failed_send.reason in (ErrorReason.STALE_ROUTE, ErrorReason.MOVED):
         return 0
+    if failed_send.reason is ErrorReason.SERVER_LIMIT:
+        # Nothing was sent, and another server may have room.
+        return None if failed_send.is_only_server else 0
     if not failed_send.is_only_server:
         return OTHER_SERVER_DELAY_MS * failed_send.sends
     return _delay_at_same_server(failed_send)
--- a/src/fuchsiatrack/gateway/serverselection.py
+++ b/src/fuchsiatrack/gateway/serverselection.py
@@ -6,8 +6,9 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
-from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache
@@ -57,7 +58,11 @@
 
 
 class BalancedSelector(ServerSelector):
-    """Selects the server with the least expected time, for services without keys."""
+    """Selects the server with the least expected time, for services without keys.
+
+    *limit_delay* returns for how long a server is known to have no room within the limit that it
+    named, in milliseconds.
+    """
 
     def __init__(
         self,
@@ -66,7 +71,9 @@
         failure_domain: str,
         clock: Clock,
         rng: random.Random,
+        limit_delay: Callable[[ServerIncarnation], int],
     ) -> None:
+        self._limit_delay = limit_delay
         self._directory = directory
         self._stats = stats
         self._failure_domain = failure_domain
@@ -100,6 +107,7 @@
     def _cost(self, entry: ServerEntry, selection_request: SelectionRequest) -> float:
         stats = self._stats.get(entry.id, entry.slots)
         cost = stats.expected_time(self._clock.now()) * (2.0 if entry.warming_up else 1.0)
+        cost += self._limit_delay(entry.incarnation)
         if entry.failure_domain != self._failure_domain:
             size = selection_request.body_size + self._stats.response_size(
                 selection_request.service
--- a/src/fuchsiatrack/kernel/trafficcounter.py
+++ b/src/fuchsiatrack/kernel/trafficcounter.py
@@ -15,6 +15,7 @@
     LOAD_REPORT = "load_report"
     ACKNOWLEDGEMENT = "acknowledgement"
     OWNERSHIP = "ownership"
+    PERMIT = "permit"
     LOG = "log"
 
 
--- /dev/null
+++ b/src/fuchsiatrack/limits/permits.py
@@ -0,0 +1,138 @@
+"""This daemon's permits for requests to servers that limit all daemons together."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import math
+import random
+from collections.abc import Callable, Iterable
+
+from fuchsiatrack.directory.servers import ServerIncarnation
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.metrics import Metrics
+from fuchsiatrack.limits.issuer import Permit, limiter_for
+from fuchsiatrack.limits.ratelimiter import TURN_LIFETIME_MS, RateLimiter
+from fuchsiatrack.limits.registry import LimitRegistry
+
+# Part of an equal share that a daemon uses while no leader issues permits: the daemons that share
+# the limit may be more than were counted, and their turns may meet by chance.
+UNLED_SHARE_RATIO = 0.8
+
+
+class LimitReached(Exception):
+    """The server's limit leaves no room in time; `retry_after` is in milliseconds."""
+
+    def __init__(self, server: str, retry_after: int) -> None:
+        super().__init__(f"{server}: no room within its limit for {retry_after} ms")
+        self.retry_after = retry_after
+
+
+class PermitChannel(abc.ABC):
+    """Way to the leader, which issues the permits of all daemons."""
+
+    @abc.abstractmethod
+    async def request(self, server: ServerIncarnation, max_delay: int) -> Permit | None:
+        """Return the leader's decision, None if no leader decides in time.
+
+        *max_delay* is in milliseconds.
+        """
+
+
+class PermitPool:
+    """Acquires permits for this daemon's requests, one for each send.
+
+    The leader issues them by demand.  While there is none, each of the *daemon_count* daemons uses
+    a share of its own.  Permits that were not used are kept for the next requests.
+    """
+
+    def __init__(
+        self,
+        registry: LimitRegistry,
+        channel: PermitChannel,
+        daemon_count: Callable[[], int],
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._registry = registry
+        self._channel = channel
+        self._daemon_count = daemon_count
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._own_shares: dict[ServerIncarnation, RateLimiter] = {}
+        self._unused: dict[ServerIncarnation, collections.deque[int]] = {}
+        self._full_until: dict[ServerIncarnation, int] = {}
+
+    def expected_delay(self, server: ServerIncarnation) -> int:
+        """Return for how long *server* is known to have no room, in milliseconds."""
+        return max(0, self._full_until.get(server, 0) - self._clock.now())
+
+    async def acquire(self, server: ServerIncarnation, max_delay: int) -> bool:
+        """Wait until one request may be sent to *server*, at most *max_delay* milliseconds.
+
+        Return whether that takes a permit, as *server* sets a limit.  Raises LimitReached at once
+        if there is no room in time.
+        """
+        rate = self._registry.find(server)
+        if rate is None:
+            return False
+        if self._take_unused(server):
+            return True
+        known_delay = self.expected_delay(server)
+        if known_delay > max_delay:
+            raise self._limit_reached(server, rate, known_delay)
+        permit = await self._channel.request(server, max_delay)
+        if permit is None:
+            permit = self._request_own_share(server, max_delay)
+        if not permit.granted:
+            self._full_until[server] = self._clock.now() + permit.delay
+            raise self._limit_reached(server, rate, permit.delay)
+        self._metrics.count("permits.granted")
+        try:
+            await self._clock.sleep(permit.delay)
+        except BaseException:
+            self.put_back(server)
+            raise
+        return True
+
+    def put_back(self, server: ServerIncarnation) -> None:
+        """Keep a permit whose request was not sent."""
+        if self._registry.find(server) is not None:
+            expires_at = self._clock.now() + TURN_LIFETIME_MS
+            self._unused.setdefault(server, collections.deque()).append(expires_at)
+
+    def keep_only(self, listed: Iterable[ServerIncarnation]) -> None:
+        """Drop what is known of servers that are not in *listed* or set no limit."""
+        kept = frozenset(listed) & self._registry.rates.keys()
+        for by_server in (self._own_shares, self._unused, self._full_until):
+            for server in by_server.keys() - kept:
+                del by_server[server]
+
+    def _take_unused(self, server: ServerIncarnation) -> bool:
+        unused = self._unused.get(server)
+        while unused:
+            if unused.popleft() > self._clock.now():
+                return True
+        return False
+
+    def _request_own_share(self, server: ServerIncarnation, max_delay: int) -> Permit:
+        """Decide by this daemon's share of the limit."""
+        self._metrics.count("permits.unled")
+        rate = self._registry.find(server)
+        if rate is None:
+            return Permit(True, 0)
+        now = self._clock.now()
+        share = rate * UNLED_SHARE_RATIO / max(1, self._daemon_count())
+        # A random phase keeps the daemons' turns apart.
+        first_turn = now + self._rng.uniform(0, 1_000 / share) if share else math.inf
+        limiter = limiter_for(self._own_shares, server, share, first_turn, now)
+        delay = limiter.reserve(now, max_delay)
+        return Permit(False, limiter.delay(now)) if delay is None else Permit(True, delay)
+
+    def _limit_reached(self, server: ServerIncarnation, rate: float, delay: int) -> LimitReached:
+        self._metrics.count("permits.denied")
+        # Spread over the next turns, so that callers don't return at the same moment.
+        spread = self._rng.uniform(0, 1_000 / rate) if rate else 0
+        return LimitReached(server.server, int(delay + spread) + 1)
--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -15,28 +15,31 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class LimitObservation:
-    """What a response of `server` stated about its limit.
+class LimitNotice:
+    """What one daemon tells others of the limit of `server`.
 
-    `rate` is in requests per second, None if the server sets no limit.  `observed_at` is a time of
-    this daemon's clock, in milliseconds.
+    `rate` is in requests per second, None if the server sets no limit.  `age` is the time since a
+    response stated it, in milliseconds, since the daemons' clocks differ.
     """
 
     server: ServerIncarnation
+    rate: float | None
+    age: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Observation:
+    """The latest statement of a server, at `observed_at` by this daemon's clock."""
+
     rate: float | None
     observed_at: int
 
 
 class LimitRegistry:
-    """The latest observation of each server that sets a limit or has recently ended one."""
+    """The latest statement of each server that sets a limit or has recently ended one."""
 
     def __init__(self) -> None:
-        self._observations: dict[ServerIncarnation, LimitObservation] = {}
-
-    @property
-    def observations(self) -> tuple[LimitObservation, ...]:
-        """The latest observation of each server."""
-        return tuple(self._observations.values())
+        self._observations: dict[ServerIncarnation, _Observation] = {}
 
     @property
     def rates(self) -> dict[ServerIncarnation, float]:
@@ -52,6 +55,13 @@
         observation = self._observations.get(server)
         return observation.rate if observation is not None else None
 
+    def notices(self, now: int) -> tuple[LimitNotice, ...]:
+        """Return what to tell other daemons."""
+        return tuple(
+            LimitNotice(server, item.rate, now - item.observed_at)
+            for server, item in self._observations.items()
+        )
+
     def record_response(
         self, server: ServerIncarnation, rate: float | None, sent_at: int, now: int
     ) -> None:
@@ -63,15 +73,17 @@
         known = self._observations.get(server)
         if rate is None and (known is None or known.rate is None or sent_at <= known.observed_at):
             return
-        self._put(LimitObservation(server, rate, now))
-
-    def merge(self, observation: LimitObservation) -> None:
-        """Record an observation of another daemon unless a later one is known."""
-        known = self._observations.get(observation.server)
-        if known is None and observation.rate is None:
-            return
-        if known is None or known.observed_at < observation.observed_at:
-            self._put(observation)
+        self._put(server, _Observation(rate, now))
+
+    def merge(self, notices: Iterable[LimitNotice], now: int) -> None:
+        """Record what another daemon observed, where that is later than what is known."""
+        for notice in notices:
+            known = self._observations.get(notice.server)
+            observed_at = now - notice.age
+            if known is None and notice.rate is None:
+                continue
+            if known is None or known.observed_at < observed_at:
+                self._put(notice.server, _Observation(notice.rate, observed_at))
 
     def keep_only(self, listed: Iterable[ServerIncarnation], now: int) -> None:
         """Drop servers that are not in *listed*, and limits that ended some time ago."""
@@ -82,12 +94,12 @@
             if server in kept and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
         }
 
-    def _put(self, observation: LimitObservation) -> None:
-        known = self.find(observation.server)
-        self._observations[observation.server] = observation
+    def _put(self, server: ServerIncarnation, observation: _Observation) -> None:
+        known = self.find(server)
+        self._observations[server] = observation
         if known != observation.rate:
             fields = {
-                "server": observation.server.server,
+                "server": server.server,
                 "rate_per_s": observation.rate,
                 "before_per_s": known,
             }
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -15,7 +15,16 @@
 
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.trafficcounter import TrafficPurpose
+from fuchsiatrack.limits.registry import LimitNotice
 from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
+from fuchsiatrack.peers.permitmessages import (
+    REQUEST_PREFIX,
+    RESPONSE_PREFIX,
+    PermitRequest,
+    PermitResponse,
+    decode_notices,
+    encode_notices,
+)
 
 # Time between reports; the leader counts as unresponsive after three lost reports.
 REPORT_PERIOD_MS = 300
@@ -44,6 +53,7 @@
     `keys` has the requests by key, an integer from 0 to 65535, `servers` the response times by
     server id, and `offsets` the offset up to which the daemon has read each stream.
     `failure_domain` is that of the daemon, empty in reports of daemons before December 2026.
+    `limits` has the limits that it knows, of servers of any service.
     """
 
     vm: str
@@ -54,6 +64,7 @@
     servers: Mapping[str, ServiceTimeStats] = dataclasses.field(default_factory=dict)
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
     failure_domain: str = ""
+    limits: tuple[LimitNotice, ...] = ()
 
     def encode(self) -> bytes:
         """Return the report as JSON."""
@@ -66,6 +77,7 @@
             "servers": [[name, row.samples, row.mean] for name, row in self.servers.items()],
             "offsets": dict(self.offsets),
             "domain": self.failure_domain,
+            **({"limits": encode_notices(self.limits)} if self.limits else {}),
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -85,6 +97,7 @@
                 servers,
                 _decode_offsets(body["offsets"]),
                 str(body.get("domain", "")),
+                decode_notices(body.get("limits", ())),
             )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not a load report: {error!r}") from error
@@ -96,7 +109,8 @@
 
     `term` is its term, `daemon_count` the number of daemons that report to it, `offsets` the offset
     up to which it has read each stream, and `revisions` the revision of each service's ownership
-    map.  `renewal_failing` is true while its lease renewals fail.
+    map.  `renewal_failing` is true while its lease renewals fail.  `limits` has the limits that it
+    knows, None if it issues no permits, as leaders before 4 December 2026.
     """
 
     term: int
@@ -104,6 +118,7 @@
     renewal_failing: bool = False
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
     revisions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    limits: tuple[LimitNotice, ...] | None = None
 
     def encode(self) -> bytes:
         """Return the acknowledgement as JSON."""
@@ -115,6 +130,8 @@
             "offsets": dict(self.offsets),
             "revisions": dict(self.revisions),
         }
+        if self.limits is not None:
+            body["limits"] = encode_notices(self.limits)
         return json.dumps(body, separators=(",", ":")).encode()
 
     @classmethod
@@ -128,6 +145,7 @@
                 bool(body["faltering"]),
                 _decode_offsets(body["offsets"]),
                 _decode_offsets(body.get("revisions", {})),
+                decode_notices(body["limits"]) if "limits" in body else None,
             )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not an acknowledgement: {error!r}") from error
@@ -205,7 +223,8 @@
 
     *on_report* returns the datagram to respond with: a `TermEndNotice` if a term that this daemon
     led has ended and the report's term is later, a `ReportAck` if this daemon leads the report's
-    term, and else None.  *on_traffic* receives the purpose, the peer's address and the bytes sent
+    term, and else None.  *on_permit_request* returns the decision if this daemon leads, and else
+    None.  *on_traffic* receives the purpose, the peer's address and the bytes sent
     and received of each datagram.  The other callbacks receive what the leader, or the leader of an
     ended term, sends.
     """
@@ -217,6 +236,8 @@
         on_update: Callable[[OwnershipUpdate], None],
         on_change: Callable[[OwnershipChangeNotice], None],
         on_term_end_notice: Callable[[TermEndNotice], None],
+        on_permit_request: Callable[[PermitRequest], PermitResponse | None],
+        on_permit_response: Callable[[PermitResponse], None],
         on_traffic: Callable[[TrafficPurpose, tuple[str, int], int, int], None],
     ) -> None:
         self._on_traffic = on_traffic
@@ -225,6 +246,8 @@
         self._on_update = on_update
         self._on_change = on_change
         self._on_term_end_notice = on_term_end_notice
+        self._on_permit_request = on_permit_request
+        self._on_permit_response = on_permit_response
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -237,9 +260,16 @@
             log.warning("malformed datagram", extra={"from": addr[0], "why": str(error)})
             return
         if response and self._transport:
-            self._send_datagram(TrafficPurpose.ACKNOWLEDGEMENT, response.encode(), addr)
+            purpose = (
+                TrafficPurpose.PERMIT
+                if isinstance(response, PermitResponse)
+                else TrafficPurpose.ACKNOWLEDGEMENT
+            )
+            self._send_datagram(purpose, response.encode(), addr)
 
-    def _dispatch(self, data: bytes, address: tuple[str, int]) -> ReportAck | TermEndNotice | None:
+    def _dispatch(
+        self, data: bytes, address: tuple[str, int]
+    ) -> ReportAck | TermEndNotice | PermitResponse | None:
         """Pass a datagram to its callback; the first JSON key identifies its type."""
         if data.startswith(b'{"update_term"'):
             self._on_traffic(TrafficPurpose.OWNERSHIP, address, 0, len(data))
@@ -256,6 +286,13 @@
             self._on_traffic(TrafficPurpose.ACKNOWLEDGEMENT, address, 0, len(data))
             self._on_ack(ReportAck.decode(data))
             return None
+        if data.startswith(REQUEST_PREFIX):
+            self._on_traffic(TrafficPurpose.PERMIT, address, 0, len(data))
+            return self._on_permit_request(PermitRequest.decode(data))
+        if data.startswith(RESPONSE_PREFIX):
+            self._on_traffic(TrafficPurpose.PERMIT, address, 0, len(data))
+            self._on_permit_response(PermitResponse.decode(data))
+            return None
         report = LoadReport.decode(data)
         self._on_traffic(TrafficPurpose.LOAD_REPORT, address, 0, len(data))
         return self._on_report(report, address)
@@ -276,6 +313,11 @@
         for part in _split(report):
             self._send_datagram(TrafficPurpose.LOAD_REPORT, part.encode(), (host, int(port)))
 
+    def send_permit_request(self, request: PermitRequest, address: str) -> None:
+        """Send *request* to the leader at *address*, IP:PORT."""
+        host, _, port = address.rpartition(":")
+        self._send_to_all(TrafficPurpose.PERMIT, request.encode(), [(host, int(port))])
+
     def broadcast_update(
         self,
         update: OwnershipUpdate | OwnershipChangeNotice,
@@ -320,4 +362,4 @@
     yield dataclasses.replace(report, keys=dict(items[:KEYS_PER_DATAGRAM]))
     for start in range(KEYS_PER_DATAGRAM, len(items), KEYS_PER_DATAGRAM):
         keys = dict(items[start : start + KEYS_PER_DATAGRAM])
-        yield dataclasses.replace(report, keys=keys, servers={})
+        yield dataclasses.replace(report, keys=keys, servers={}, limits=())
--- /dev/null
+++ b/src/fuchsiatrack/peers/permitmessages.py
@@ -0,0 +1,95 @@
+"""Datagrams by which daemons ask the leader for permits and tell each other of limits."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from fuchsiatrack.directory.servers import ServerIncarnation
+from fuchsiatrack.limits.issuer import Permit
+from fuchsiatrack.limits.registry import LimitNotice
+
+REQUEST_PREFIX = b'{"permit_request"'
+RESPONSE_PREFIX = b'{"permit_response"'
+
+
+def encode_notices(notices: Iterable[LimitNotice]) -> list[list[Any]]:
+    """Return *notices* for JSON, as rows of server, start, rate and age."""
+    return [[item.server.server, item.server.started_at, item.rate, item.age] for item in notices]
+
+
+def decode_notices(rows: Iterable[Any]) -> tuple[LimitNotice, ...]:
+    """Return the notices in *rows*; raise ValueError if a row is malformed."""
+    try:
+        return tuple(
+            LimitNotice(
+                ServerIncarnation(str(server), int(started_at)),
+                None if rate is None else float(rate),
+                max(0, int(age)),
+            )
+            for server, started_at, rate, age in rows
+        )
+    except TypeError as error:
+        raise ValueError(f"not limit notices: {error!r}") from error
+
+
+@dataclasses.dataclass(frozen=True)
+class PermitRequest:
+    """A request for one permit to send to the server of `notice` within `max_delay` ms.
+
+    `number` identifies the request at its sender, and `notice` is what it knows of the limit.
+    """
+
+    number: int
+    max_delay: int
+    notice: LimitNotice
+
+    def encode(self) -> bytes:
+        """Return the request as JSON."""
+        # The first key must stay first: `ReportProtocol` identifies the message by it.
+        body = {
+            "permit_request": self.number,
+            "max_delay": self.max_delay,
+            "limits": encode_notices([self.notice]),
+        }
+        return json.dumps(body, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> PermitRequest:
+        """Return the request encoded in *data*; raise ValueError if it encodes none."""
+        try:
+            body = json.loads(data)
+            [notice] = decode_notices(body["limits"])
+            return cls(int(body["permit_request"]), int(body["max_delay"]), notice)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"not a permit request: {error!r}") from error
+
+
+@dataclasses.dataclass(frozen=True)
+class PermitResponse:
+    """The leader's decision on the permit request with `number`."""
+
+    number: int
+    permit: Permit
+
+    def encode(self) -> bytes:
+        """Return the response as JSON."""
+        # The first key must stay first: `ReportProtocol` identifies the message by it.
+        body = {
+            "permit_response": self.number,
+            "granted": self.permit.granted,
+            "delay": self.permit.delay,
+        }
+        return json.dumps(body, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> PermitResponse:
+        """Return the response encoded in *data*; raise ValueError if it encodes none."""
+        try:
+            body = json.loads(data)
+            permit = Permit(bool(body["granted"]), max(0, int(body["delay"])))
+            return cls(int(body["permit_response"]), permit)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"not a permit response: {error!r}") from error
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -7,7 +7,7 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.gateway.headers import ReportedLimit
-from fuchsiatrack.limits.registry import LimitObservation, LimitRegistry
+from fuchsiatrack.limits.registry import LimitNotice, LimitRegistry
 from fuchsiatrack.platform.headers import PlatformHeaderCodec
 
 SERVER = ServerIncarnation("s1", 1)
@@ -55,9 +55,9 @@
     def test_later_observation_of_another_daemon_counts(self):
         registry = LimitRegistry()
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
-        registry.merge(LimitObservation(SERVER, 9.0, 149))
+        registry.merge([LimitNotice(SERVER, 9.0, 51)], 200)
         assert registry.find(SERVER) == 5.0
-        registry.merge(LimitObservation(SERVER, 2.0, 151))
+        registry.merge([LimitNotice(SERVER, 2.0, 49)], 200)
         assert registry.find(SERVER) == 2.0
 
     def test_next_incarnation_starts_without_a_limit(self):
@@ -69,4 +69,4 @@
         registry = LimitRegistry()
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
         registry.keep_only([ServerIncarnation("s1", 2)], 200)
-        assert not registry.observations
+        assert not registry.notices(200)
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -16,6 +16,8 @@
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel import logs
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.limits.issuer import Permit
+from fuchsiatrack.limits.registry import LimitNotice
 from fuchsiatrack.peers.loadreports import (
     KEYS_PER_DATAGRAM,
     LoadReport,
@@ -26,6 +28,7 @@
     TermEndNotice,
 )
 from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
+from fuchsiatrack.peers.permitmessages import PermitRequest, PermitResponse
 from fuchsiatrack.ranges.ownership import OwnedRange
 from fuchsiatrack.ranges.ownershipchange import OwnershipChange
 from tests.fleet import route, run_fleet
@@ -54,6 +57,10 @@
         return False
 
 
+NOTICE = LimitNotice(ServerIncarnation("i", 5), 8.8, 40)
+ENDED = LimitNotice(ServerIncarnation("i", 6), None, 400)
+
+
 class TestDatagrams:
     """Encoding and handling of datagrams between daemons."""
 
@@ -63,7 +70,11 @@
             LoadReport(
                 "vm", "run", 3, "s", {5: 2}, {"i": ServiceTimeStats(4, 1.5)}, {"directory": 9}, "a"
             ),
+            LoadReport("vm", "run", 3, limits=(NOTICE, ENDED)),
             ReportAck(3, 9, True, {"configuration": 4}, {"s": 7}),
+            ReportAck(3, 9, limits=(NOTICE, ENDED)),
+            PermitRequest(7, 150, NOTICE),
+            PermitResponse(7, Permit(False, 80)),
             OwnershipChangeNotice(
                 3, "s", OwnershipChange(6, 8, 4, (OwnedRange(0, 9, ServerIncarnation("i", 5), 4),))
             ),
@@ -83,13 +94,15 @@
             received.append,
             received.append,
             received.append,
+            received.append,
+            received.append,
             lambda *a: None,
         )
         protocol.datagram_received(data, ("127.0.0.1", 1))
         assert not received
 
     def test_many_keys_are_split_and_times_are_sent_once(self):
-        protocol = ReportProtocol(lambda *a: None, id, id, id, id, lambda *a: None)
+        protocol = ReportProtocol(lambda *a: None, id, id, id, id, id, id, lambda *a: None)
         protocol.connection_made(FakeTransport())
         keys = dict.fromkeys(range(KEYS_PER_DATAGRAM * 2 + 1), 1)
         report = LoadReport("vm", "run", 1, "s", keys, {"i": ServiceTimeStats(1, 2.0)})
--- a/tests/test_server_departure.py
+++ b/tests/test_server_departure.py
@@ -195,7 +195,9 @@
 
     def balanced_selector(self) -> ServerSelector:
         stats = ServerStatsRegistry(self.clock)
-        return BalancedSelector(self.directory, stats, "a", self.clock, random.Random(1))
+        return BalancedSelector(
+            self.directory, stats, "a", self.clock, random.Random(1), lambda server: 0
+        )
 
     def owner_selector(self) -> ServerSelector:
         return OwnerSelector(self.directory, FakeOwnershipCache(), self.clock)
