Move keys away from servers that limit their requests

Callers whose keys a limited server owned were rejected although the other servers of the service had room: nothing told the planner of the limit.

The planner now counts a limited server with the capacity whose fair share is 0.8 of its limit; the others' shares grow by what it can't take. It gives keys away as soon as it has more, whether or not its slots are busy.

test_server_that_limits_its_requests_keeps_keys_within_its_limit needs the new input of the planner and so can't run on the code before.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -305,6 +305,7 @@
             self.ownership_cache.find(service),
             functools.partial(self.ownership_cache.moving_since, service),
             save,
+            self._limits,
         )
         previous_end = max(
             self.leadership.resigned_term_grants_end, self._notified_extended_grants_end
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -10,6 +10,7 @@
 
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.ranges.grantclient import NotDelivered, OutcomeUnknown, RangeGrantClient
 from fuchsiatrack.ranges.grantrenewer import GrantRenewer, OwnershipView
 from fuchsiatrack.ranges.leadership import Leadership, NotLeading
@@ -47,7 +48,8 @@
     """Controls the key ranges of one service during one term of this daemon.
 
     *ownership* is the latest map of the service on the log. *moving_since* returns when this
-    daemon first saw that a range is moving, and *save* appends a map to the log.
+    daemon first saw that a range is moving, *save* appends a map to the log, and *limits* has the
+    limits that servers named.
     Times are in milliseconds.
     """
 
@@ -63,8 +65,10 @@
         ownership: OwnershipMap,
         moving_since: Callable[[OwnedRange], int],
         save: Callable[[OwnershipMap], Awaitable[None]],
+        limits: LimitRegistry,
     ) -> None:
         self._service = service
+        self._limits = limits
         self._leadership = leadership
         self._directory = directory
         self._grant_client = grant_client
@@ -192,7 +196,9 @@
             await self._merge_ranges()
         capacities = self._capacities()
         service_time = self.service_times.median(item.server for item in capacities)
-        planner_input = PlannerInput(self._map, capacities, self.key_load.rates(), service_time)
+        planner_input = PlannerInput(
+            self._map, capacities, self.key_load.rates(), service_time, self._limits.rates
+        )
         moves = self._planner.plan(planner_input)
         if not moves:
             return
--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -8,6 +8,7 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.kernel.registry import register
+from fuchsiatrack.limits.ratelimiter import RATE_MIN_PER_S
 from fuchsiatrack.ranges.load import KeyRate, KeyRates
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 
@@ -35,6 +36,8 @@
 HOT_KEY_SHARE = 0.5
 # A hot key moves only to a server with at least this many times the capacity of its owner.
 HOT_KEY_CAPACITY_RATIO_MIN = 1.25
+# Share of the rate to which a server limits its requests that is planned for it.
+LIMIT_USED_RATIO = 0.8
 # The keys of a server that must no longer own any go to several others; each piece of a range but
 # the last has at least this share of the load of the range.
 PIECE_SHARE_MIN = 0.34
@@ -55,13 +58,15 @@
 
     `capacities` maps each server that may own keys to the number of requests that it processes at
     once, relative to a server of median speed. Ranges of other owners must move. `service_time` is
-    that of the median server in milliseconds, 0 if it isn't known.
+    that of the median server in milliseconds, 0 if it isn't known.  `limits` has the requests per
+    second of each server that limits them.
     """
 
     ownership: OwnershipMap
     capacities: Mapping[ServerIncarnation, float]
     rates: KeyRates
     service_time: float = 0.0
+    limits: Mapping[ServerIncarnation, float] = dataclasses.field(default_factory=dict)
 
 
 class RangePlanner(abc.ABC):
@@ -106,8 +111,9 @@
             for item in self._rates.busiest(len(planner_input.capacities))
             if item.rate >= HOT_KEY_RATE_MIN_PER_S
         ]
+        self._capacities = _limited_capacities(planner_input)
         self._rate_per_capacity = _fair_rate_per_capacity(
-            self._rates.total, hot_keys, planner_input.capacities.values()
+            self._rates.total, hot_keys, self._capacities.values()
         )
         self._hot_key_owners = self._find_hot_key_owners(hot_keys)
         mean_share = self._rates.total / max(len(self._loads), 1)
@@ -165,15 +171,21 @@
         return self._loads[incarnation] / share if share else 1.0
 
     def _is_busy(self, incarnation: ServerIncarnation) -> bool:
-        """Return whether *incarnation* uses enough of its capacity for requests to wait."""
+        """Return whether *incarnation* uses enough of its capacity for requests to wait.
+
+        Beyond its limit requests are rejected, whatever its capacity is.
+        """
+        limit = self._planner_input.limits.get(incarnation)
+        if limit is not None and self._loads[incarnation] > limit * LIMIT_USED_RATIO:
+            return True
         requests_at_once = self._loads[incarnation] * self._planner_input.service_time / 1_000
-        capacity = self._planner_input.capacities[incarnation]
+        capacity = self._capacities[incarnation]
         is_known = self._planner_input.service_time > 0
         return not is_known or requests_at_once >= BUSY_RATIO * capacity
 
     def _share(self, incarnation: ServerIncarnation) -> float:
         """Return the fair share of *incarnation*, in requests per second."""
-        return self._rate_per_capacity * self._planner_input.capacities[incarnation]
+        return self._rate_per_capacity * self._capacities[incarnation]
 
     def _place_range(self, item: OwnedRange) -> list[PlannedMove]:
         """Plan moves of *item*, in pieces, to the least utilized servers."""
@@ -202,7 +214,7 @@
         hottest_key = max(busiest_keys, key=lambda hot_key: hot_key.rate, default=None)
         if hottest_key is None or hottest_key.rate <= self._share(source):
             return None
-        capacities = self._planner_input.capacities
+        capacities = self._capacities
         free_servers = capacities.keys() - self._hot_key_owners
         largest = max(free_servers, key=lambda incarnation: capacities[incarnation], default=None)
         if largest is None or capacities[largest] < capacities[source] * HOT_KEY_CAPACITY_RATIO_MIN:
@@ -270,6 +282,41 @@
         return PlannedMove(item.first, self._rates.split_key(item.first, item.last, rate), target)
 
 
+def _limited_capacities(planner_input: PlannerInput) -> dict[ServerIncarnation, float]:
+    """Return the capacities, smaller ones for servers whose limit is below their fair share.
+
+    A limited server's capacity is the one whose fair share is its limit.  The others' shares grow
+    by what the limited ones can't take, so that further servers may exceed their limits.
+    """
+    capacities = dict(planner_input.capacities)
+    rates = {
+        server: max(planner_input.limits[server], RATE_MIN_PER_S) * LIMIT_USED_RATIO
+        for server in capacities.keys() & planner_input.limits.keys()
+    }
+    limited: set[ServerIncarnation] = set()
+    total = planner_input.rates.total
+    while True:
+        free_capacity = sum(
+            capacity for server, capacity in capacities.items() if server not in limited
+        )
+        free_rate = total - sum(rates[server] for server in limited)
+        if free_capacity <= 0 or free_rate <= 0:
+            # Every server is limited, and together they take less than the load.
+            return {server: rates[server] for server in capacities}
+        rate_per_capacity = free_rate / free_capacity
+        exceeding = {
+            server
+            for server in rates.keys() - limited
+            if capacities[server] * rate_per_capacity > rates[server]
+        }
+        if not exceeding:
+            return {
+                server: rates[server] / rate_per_capacity if server in limited else capacity
+                for server, capacity in capacities.items()
+            }
+        limited |= exceeding
+
+
 def _fair_rate_per_capacity(
     total: float, hot_keys: list[KeyRate], capacities: Collection[float]
 ) -> float:
--- a/tests/test_range_faults.py
+++ b/tests/test_range_faults.py
@@ -12,6 +12,7 @@
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerIncarnation
 from fuchsiatrack.kernel.clock import SystemClock
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.ranges import controller as controller_module
 from fuchsiatrack.ranges import grantrenewer
 from fuchsiatrack.ranges.controller import RangeController
@@ -120,6 +121,7 @@
             self.saved[-1] if self.saved else OwnershipMap(),
             lambda item: self.clock.now(),
             self.saved.save,
+            LimitRegistry(),
         )
         self.task = asyncio.create_task(self.controller.run())
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -16,6 +16,7 @@
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock, SystemClock
 from fuchsiatrack.kernel.errors import AppendRefused
+from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.platform.logservice import LogServiceClient
 from fuchsiatrack.ranges import controller as controller_module
 from fuchsiatrack.ranges import grantrenewer
@@ -33,7 +34,12 @@
 from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnedRange, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache, map_key
-from fuchsiatrack.ranges.planner import BalancedPlanner, ForcedMovesPlanner, PlannerInput
+from fuchsiatrack.ranges.planner import (
+    MOVE_RATE_MIN_PER_S,
+    BalancedPlanner,
+    ForcedMovesPlanner,
+    PlannerInput,
+)
 from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, Term
 from fuchsiatrack_standins.fleet.logservice import LogServiceMode, LogServiceStandIn
 from tests.fleet import endpoint_of
@@ -314,6 +320,37 @@
         )
         assert len(BalancedPlanner().plan(planner_input)) >= 8
 
+    @pytest.mark.parametrize("service_time", [0.0, 20.0])
+    @pytest.mark.parametrize("limits", [{0: 4.0}, {0: 8.0, 1: 2.0}, {2: 0.0}])
+    def test_server_that_limits_its_requests_keeps_keys_within_its_limit(
+        self, limits: dict[int, float], service_time: float
+    ):
+        """The others have room, so that nothing has to be rejected."""
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 331), 0.5))
+        named = {INCARNATIONS[index]: rate for index, rate in limits.items()}
+        ownership = divide_evenly(INCARNATIONS, 1)
+        for _ in range(40):
+            planner_input = PlannerInput(
+                ownership, dict.fromkeys(INCARNATIONS, 4.0), rates, service_time, named
+            )
+            for move in BalancedPlanner().plan(planner_input):
+                ownership = ownership.start_move(move.first, move.last, move.successor)
+                item = ownership.find(move.first)
+                ownership = ownership.finish_move(item, "")
+        for server, rate in named.items():
+            planned = sum(
+                rates.between(item.first, item.last) for item in ownership.owned_by(server)
+            )
+            assert planned <= max(rate, MOVE_RATE_MIN_PER_S)
+
+    def test_limits_of_all_servers_together_below_the_load_move_nothing_for_ever(self):
+        rates = _rates(dict.fromkeys(range(0, LAST_KEY, 331), 0.5))
+        named = dict.fromkeys(INCARNATIONS, 3.0)
+        planner_input = PlannerInput(
+            divide_evenly(INCARNATIONS, 1), dict.fromkeys(INCARNATIONS, 4.0), rates, 20.0, named
+        )
+        assert BalancedPlanner().plan(planner_input) == ()
+
     def test_without_servers_nothing_moves(self):
         assert (
             BalancedPlanner().plan(PlannerInput(divide_evenly(INCARNATIONS, 1), {}, _rates({})))
@@ -622,6 +659,7 @@
             OwnershipMap(),
             lambda item: clock.now(),
             saved.save,
+            LimitRegistry(),
         )
         task = asyncio.create_task(controller.run())
         yield grant_client, leadership, directory, saved
