Let servers name limits in the soak test

A server names a limit, another one, a malformed value and none again, while daemons are killed, paused and stopped. check_limits counts the requests of healthy daemons in each 4 s against the limits in force in them.

--- a/src/fuchsiatrack_standins/fleet/server.py
+++ b/src/fuchsiatrack_standins/fleet/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import re
 import time
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from fuchsiatrack_standins.fleet.logservice import LogServiceStandIn
 
 MAX_QUEUED_REQUESTS = 16
+DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?")
 
 
 @dataclasses.dataclass
@@ -41,6 +43,11 @@
     value: str | None
     since_s: float
 
+    @property
+    def rate(self) -> float | None:
+        """Requests per second, None for no limit or a malformed value."""
+        return float(self.value) if self.value and DECIMAL.fullmatch(self.value) else None
+
 
 @dataclasses.dataclass
 class Run:
--- a/src/fuchsiatrack_standins/soak/faults.py
+++ b/src/fuchsiatrack_standins/soak/faults.py
@@ -21,6 +21,11 @@
 FAULT_DURATION_S = (0.3, 3.0)
 # A draining server serves for at least this long after its entry reports that it is draining.
 DRAIN_S = 2.5
+# A limit lasts for this long and the duration of its fault, and changes once.
+LIMIT_S = 8.0
+# Limits in requests per second, from below one for each daemon to little less than the load.
+LIMIT_RATES = (0.5, 2.5, 8.8, 19.8)
+MALFORMED_LIMITS = ("", "-1", "nan", "1e9", "8,5")
 LOG_SERVICE_FAULTS = (
     LogServiceMode.BUSY,
     LogServiceMode.RATE_LIMITED,
@@ -69,6 +74,7 @@
             self._servers_replaced,
             self._daemons_told,
             self._versions,
+            self._server_limited,
         )
         if self._only_changes:
             return changes
@@ -156,6 +162,20 @@
             await asyncio.sleep(duration / 4)
         await asyncio.gather(*changes)
 
+    async def _server_limited(self, duration: float) -> None:
+        """Let a server name a limit, another one, a malformed value, and none again."""
+        server = self._take_server()
+        if server is None:
+            return
+        server.name_limit(str(self._rng.choice(LIMIT_RATES)))
+        await asyncio.sleep(LIMIT_S / 2 + duration)
+        server.name_limit(str(self._rng.choice(LIMIT_RATES)))
+        await asyncio.sleep(LIMIT_S / 2)
+        server.name_limit(self._rng.choice(MALFORMED_LIMITS))
+        await asyncio.sleep(0.5)
+        server.name_limit(None)
+        self._reserved_servers.discard(server.id)
+
     async def _server_restarts(self, duration: float) -> None:
         """Stop a server abruptly, then start its next incarnation."""
         server = self._take_server()
--- a/src/fuchsiatrack_standins/soak/guarantees.py
+++ b/src/fuchsiatrack_standins/soak/guarantees.py
@@ -6,10 +6,11 @@
 import collections
 import dataclasses
 import itertools
+import math
 import time
 from collections.abc import Iterable, Mapping, Sequence
 
-from fuchsiatrack_standins.fleet.server import ServerStandIn
+from fuchsiatrack_standins.fleet.server import NamedLimit, ServerStandIn
 from fuchsiatrack_standins.soak.callers import DEADLINE_MS, KEYS, CompletedCall
 from fuchsiatrack_standins.soak.daemons import DaemonState
 
@@ -22,6 +23,11 @@
 # daemons that had no disturbance for `CONTACT_S`.
 DRAIN_S = 2.0
 CONTACT_S = 3.0
+# The rule LIMIT: from `CONTACT_S` after a server began to name a limit, it gets in this time at
+# most 1.5 times what the limit allows and 5 requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS_RATIO = 1.5
+LIMIT_EXCESS_REQUESTS = 5
 # The rule OWNER of the users' platform (see docs/INVARIANTS.md) allows two servers to own a key for
 # this long if neither executes requests for it.
 MAX_OVERLAP_S = 0.5
@@ -125,3 +131,48 @@
                     f"{run.request_id} reached {server.id} {late_s * 1_000:.0f} ms too late"
                 )
     return violations
+
+
+def check_limits(calls: Iterable[CompletedCall], servers: Iterable[ServerStandIn]) -> list[str]:
+    """Return a text for each server that got more requests than the limit that it had named.
+
+    Requests through a daemon that was not healthy are not counted, as a restart, pause or cut of a
+    daemon excuses it.
+    """
+    healthy = {call.request_id for call in calls if call.state is DaemonState.HEALTHY}
+    violations = []
+    for server in servers:
+        times_s = [item.at_s for item in server.arrivals if item.request_id in healthy]
+        for start_s in times_s:
+            allowed = _allowed_requests(server.limits, start_s)
+            if allowed is None:
+                continue
+            count = sum(1 for at_s in times_s if start_s <= at_s < start_s + LIMIT_WINDOW_S)
+            if count > allowed:
+                violations.append(
+                    f"{server.id} got {count} requests in {LIMIT_WINDOW_S} s; allowed {allowed:.1f}"
+                )
+                break
+    return violations
+
+
+def _allowed_requests(limits: Sequence[NamedLimit], start_s: float) -> float | None:
+    """Return how many requests *limits* allow in the window from *start_s*.
+
+    None if the window is not bound: the server began to name a limit less than `CONTACT_S` before,
+    or names none, or a malformed value, in a part of it.
+    """
+    known = [item for item in limits if item.since_s <= start_s]
+    current = list(itertools.takewhile(lambda item: item.value is not None, reversed(known)))
+    if not current or start_s < current[-1].since_s + CONTACT_S:
+        return None
+    end_s, allowed = start_s + LIMIT_WINDOW_S, float(LIMIT_EXCESS_REQUESTS)
+    for limit, next_limit in itertools.zip_longest(limits, limits[1:]):
+        limit_end_s = next_limit.since_s if next_limit is not None else math.inf
+        overlap_s = min(end_s, limit_end_s) - max(start_s, limit.since_s)
+        if overlap_s <= 0:
+            continue
+        if limit.rate is None:
+            return None
+        allowed += LIMIT_EXCESS_RATIO * limit.rate * overlap_s
+    return allowed
--- a/src/fuchsiatrack_standins/soak/run.py
+++ b/src/fuchsiatrack_standins/soak/run.py
@@ -9,7 +9,12 @@
 
 from fuchsiatrack_standins.soak.environment import Environment
 from fuchsiatrack_standins.soak.faults import FaultInjector
-from fuchsiatrack_standins.soak.guarantees import OwnershipMonitor, check_calls, check_departures
+from fuchsiatrack_standins.soak.guarantees import (
+    OwnershipMonitor,
+    check_calls,
+    check_departures,
+    check_limits,
+)
 
 CALLER_COUNT = 8
 # Of so many seeds, one injects only changes, so that daemons are bound all the time.
@@ -73,6 +78,7 @@
         *monitor.violations,
         *failures,
         *check_calls(calls, environment.all_servers, check_timing),
+        *check_limits(calls, environment.all_servers),
     ]
     if check_timing:
         violations += injector.violations
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fuchsiatrack_standins.fleet.logservice import LogServiceStandIn
-from fuchsiatrack_standins.fleet.server import Grant, Run, ServerStandIn
+from fuchsiatrack_standins.fleet.server import Arrival, Grant, NamedLimit, Run, ServerStandIn
 from fuchsiatrack_standins.soak.callers import CompletedCall
 from fuchsiatrack_standins.soak.daemons import DaemonState
 from fuchsiatrack_standins.soak.guarantees import (
@@ -16,6 +16,7 @@
     OwnershipMonitor,
     check_calls,
     check_departures,
+    check_limits,
 )
 from fuchsiatrack_standins.soak.persistentcaller import PersistentCaller
 from fuchsiatrack_standins.soak.run import run_seed
@@ -70,6 +71,20 @@
     def test_kept_guarantee_is_not_reported(self, call: CompletedCall, servers: list):
         assert check_calls([call], servers) == []
 
+    @pytest.mark.parametrize(("count", "is_reported"), [(11, False), (12, True)])
+    def test_more_requests_than_a_named_limit_allows_are_reported(self, count, is_reported):
+        server = _server("s1")
+        server.limits += [NamedLimit("1.0", 100.0)]
+        server.arrivals += [Arrival("c1", 103.5 + 0.1 * index) for index in range(count)]
+        assert bool(check_limits([_call(200)], [server])) == is_reported
+
+    @pytest.mark.parametrize("value", [None, "", "nan"])
+    def test_requests_while_no_limit_is_named_are_not_reported(self, value):
+        server = _server("s1")
+        server.limits += [NamedLimit("1.0", 100.0), NamedLimit(value, 103.6)]
+        server.arrivals += [Arrival("c1", 103.5 + 0.1 * index) for index in range(40)]
+        assert check_limits([_call(200)], [server]) == []
+
     def test_request_that_reaches_a_server_long_after_it_left_is_reported(self):
         server = _server("s1", "in-time", "late")
         server.left_at_s = 100.0
