Take a rejection as proof only if it belongs to the request

A server of the YAML interface that writes an earlier rejection once more on a kept connection made callers hear 'not run' of a read that the server was running: _check_response looked at the verdict before the request's id.

The id decides first. A rejection without an id counts on a new connection only, as in the gateway.

--- a/src/fuchsiatrack/routing/connectionpool.py
+++ b/src/fuchsiatrack/routing/connectionpool.py
@@ -33,9 +33,13 @@
 
 @dataclasses.dataclass
 class _Progress:
-    """Whether the send got a connection, after which bytes may have been sent."""
+    """Whether the send got a connection, after which bytes may have been sent.
+
+    `is_reused` tells whether the connection had carried an earlier request.
+    """
 
     connected: bool = False
+    is_reused: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,7 +109,7 @@
                 response = await self._request(target, outgoing, progress)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return _classify_error(error, progress)
-        return _check_response(response, outgoing)
+        return _check_response(response, outgoing, progress)
 
     def connection_limits(self, max_connections: int) -> tuple[int, int]:
         """Return this daemon's connection limits for idempotent requests and for all others.
@@ -177,9 +181,13 @@
     async def set_connected(session: object, context: object, params: object) -> None:
         context.trace_request_ctx.connected = True  # type: ignore[attr-defined]
 
+    async def set_reused(session: object, context: object, params: object) -> None:
+        context.trace_request_ctx.connected = True  # type: ignore[attr-defined]
+        context.trace_request_ctx.is_reused = True  # type: ignore[attr-defined]
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(set_connected)
-    trace.on_connection_reuseconn.append(set_connected)
+    trace.on_connection_reuseconn.append(set_reused)
     return trace
 
 
@@ -190,16 +198,20 @@
 
 
 def _check_response(
-    response: aiohttp.ClientResponse, outgoing: OutgoingRequest
+    response: aiohttp.ClientResponse, outgoing: OutgoingRequest, progress: _Progress
 ) -> ResponseReceived | SendFailure:
-    if response.headers.get(VERDICT_HEADER) == Verdict.NOT_RUN.value:
+    send_id = response.headers.get(headers.REQUEST_ID, "")
+    is_rejection = response.headers.get(VERDICT_HEADER) == Verdict.NOT_RUN.value
+    # Without an id it may be a second copy of the rejection of an earlier request.
+    is_proof = send_id == outgoing.send_id or not (send_id or progress.is_reused)
+    if is_rejection and is_proof:
         reason = response.headers.get(REASON_HEADER, "")
         response.release()
         # "fence": the server holds no grant that covers the request.
         return SendFailure(
             Verdict.NOT_RUN, ErrorReason.NO_OWNER if reason == "fence" else ErrorReason.SHED
         )
-    if response.headers.get(headers.REQUEST_ID) != outgoing.send_id:
+    if is_rejection or send_id != outgoing.send_id:
         response.close()
         return SendFailure(Verdict.MAY_HAVE_RUN, ErrorReason.RESPONSE_MISMATCH)
     return ResponseReceived(response)
