Release keys on a connection of their own

A server that writes its response to a grant once more, late, on the connection of a release made the leader believe that the keys were given up: responses to grants and releases carry no id.

--- a/src/fuchsiatrack/platform/grantclient.py
+++ b/src/fuchsiatrack/platform/grantclient.py
@@ -33,6 +33,9 @@
 # Grants and releases reuse only connections idle for less than this: backend servers close idle
 # connections after the timeout in their Keep-Alive header, which the pool observes as well.
 GRANT_MAX_IDLE_MS = 4_000
+# A release always opens a connection: responses carry no id, and a second copy of an earlier one
+# would state that the server has given up the keys.
+RELEASE_MAX_IDLE_MS = 0
 
 
 class HttpRangeGrantClient(RangeGrantClient):
@@ -51,7 +54,7 @@
         }
         if grant.handover:
             body["Handover"] = grant.handover
-        response = await self._post(server, GRANT_PATH, body, timeout)
+        response = await self._post(server, GRANT_PATH, body, timeout, GRANT_MAX_IDLE_MS)
         if response.status == 409:
             raise GrantRefused(
                 f"{server.address}: server has seen a fence greater than {grant.fence}"
@@ -63,7 +66,7 @@
         self, server: ServerEntry, first: int, last: int, fence: int, timeout: int
     ) -> str:
         body = {"From": first, "Target": last, "fence": fence}
-        response = await self._post(server, RELEASE_PATH, body, timeout)
+        response = await self._post(server, RELEASE_PATH, body, timeout, RELEASE_MAX_IDLE_MS)
         if response.status != 200:
             raise OutcomeUnknown(f"{server.address}: release returned status {response.status}")
         return response.headers.get(HANDOVER_HEADER, "")
@@ -78,7 +81,7 @@
         return True
 
     async def _post(
-        self, server: ServerEntry, path: str, body: dict, timeout: int
+        self, server: ServerEntry, path: str, body: dict, timeout: int, max_idle: int
     ) -> ServerResponse:
         address = server.address
         headers = CIMultiDict(
@@ -87,7 +90,7 @@
         request = OutgoingRequest("POST", path, headers, json.dumps(body).encode())
         try:
             async with asyncio.timeout(timeout / 1_000):
-                connection = await self._connections.acquire(address, address, GRANT_MAX_IDLE_MS)
+                connection = await self._connections.acquire(address, address, max_idle)
                 response = await connection.send_request(request)
         except ConnectFailed as error:
             raise NotDelivered(str(error)) from error
