Answer the requests that are left at the end of a planned stop

A daemon that stopped while a request was still waiting or at its server was killed at the end of the grace, so that the caller's connection ended without an answer: after its own wait, CallerListener.stop let aiohttp wait for up to 60 s more.

At the end of the wait each exchange is ended as at its deadline: 503 for a request that has not been sent, 504 for one that may have run. Queued requests can't be sent any more once the daemon has gone. test_requests_left_at_the_end_of_a_stop_are_answered failed before: the stop went on for as long as the servers worked.

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -137,6 +137,7 @@
         self._failed_connects = 0
         self._may_have_run = False
         self._failed_response: web.Response | None = None
+        self._timeout: asyncio.Timeout | None = None
         self._service: RoutedService | None = None
         self._body: RequestBody | None = None
         self.outcome = Outcome()
@@ -152,6 +153,11 @@
         self.outcome.elapsed = self._clock.now() - self._started_at
         return response
 
+    def end(self) -> None:
+        """Respond at once, as at the deadline, if the request has been received."""
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
     async def _serve(self) -> web.Response:
         request_metadata = self._parse_request()
         table = self._dependencies.table()
@@ -175,7 +181,7 @@
             self._dependencies.record_key(service, request_metadata.key)
         await self._read_body(table.limits.max_body)
         try:
-            async with asyncio.timeout(max(self._time_left, 0) / 1_000):
+            async with asyncio.timeout(max(self._time_left, 0) / 1_000) as self._timeout:
                 return await self._send_with_retries(route, service, request_metadata)
         except TimeoutError:
             verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 
 from aiohttp import web
@@ -19,6 +20,8 @@
 # At a stop, connections stay open for this long after the listener is closed: one that was accepted
 # just before has its first request still under way.
 QUIET_PERIOD_MS = 300
+# Longest wait until requests that are ended have been answered.
+END_TIMEOUT_MS = 100
 
 log = logging.getLogger(__name__)
 
@@ -34,8 +37,8 @@
         self._all_idle.set()
         self._runner: web.ServerRunner | None = None
         self._server: web.Server | None = None
-        # Connections with a request in flight.
-        self._busy_connections: set[web.RequestHandler] = set()
+        # The requests in flight, by connection.
+        self._exchanges: dict[web.RequestHandler, Exchange] = {}
 
     async def start(self, endpoint: Endpoint) -> None:
         """Listen at *endpoint*."""
@@ -48,7 +51,8 @@
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=1.0,
         )
-        self._runner = web.ServerRunner(self._server)
+        # `stop` has waited for requests before it closes the runner.
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0)
         await self._runner.setup()
         site = web.TCPSite(self._runner, endpoint.host, endpoint.port, backlog=BACKLOG_CONNECTIONS)
         await site.start()
@@ -56,7 +60,7 @@
     @property
     def in_flight(self) -> int:
         """How many requests are in flight."""
-        return len(self._busy_connections)
+        return len(self._exchanges)
 
     @property
     def connection_count(self) -> int:
@@ -68,7 +72,10 @@
         self._is_draining = True
 
     async def stop(self, timeout: int) -> None:
-        """Stop accepting connections, wait up to *timeout* ms for requests, and close."""
+        """Stop accepting connections, wait up to *timeout* ms for requests, and close.
+
+        Requests that are still in flight then are answered by the daemon.
+        """
         for site in tuple(self._runner.sites):
             await site.stop()
         try:
@@ -77,34 +84,40 @@
                 await self._close_idle()
                 await self._all_idle.wait()
         except TimeoutError:
-            log.warning(
-                "requests aborted after the grace period", extra={"in_flight": self.in_flight}
-            )
+            await self._end_requests()
         # Responses that were just written may not have been sent yet.
         await asyncio.sleep(0.05)
         await self._runner.cleanup()
 
+    async def _end_requests(self) -> None:
+        """Answer the requests in flight: as not run if they have not been sent."""
+        log.warning("requests ended after the grace period", extra={"in_flight": self.in_flight})
+        for exchange in tuple(self._exchanges.values()):
+            exchange.end()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_TIMEOUT_MS / 1_000):
+                await self._all_idle.wait()
+
     async def _close_idle(self) -> None:
         """Close idle connections; a request arriving on one now might not finish in time."""
         # The first pause lets the event loop read what has arrived, the second one lets the
         # handlers of requests in it begin.
         for _ in range(2):
             await asyncio.sleep(0)
-        idle = [item for item in self._server.connections if item not in self._busy_connections]
+        idle = [item for item in self._server.connections if item not in self._exchanges]
         for connection in idle:
             connection.force_close()
         log.info(
             "idle connections closed",
-            extra={"closed": len(idle), "busy": len(self._busy_connections)},
+            extra={"closed": len(idle), "busy": len(self._exchanges)},
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         if connection.transport is None:
             raise ConnectionResetError("connection closed before the request was handled")
-        self._busy_connections.add(connection)
+        exchange = self._exchanges[connection] = Exchange(request, self._dependencies)
         self._all_idle.clear()
-        exchange = Exchange(request, self._dependencies)
         try:
             response = await exchange.run()
         except asyncio.CancelledError:
@@ -112,8 +125,8 @@
             self._metrics.count("requests.left")
             raise
         finally:
-            self._busy_connections.discard(connection)
-            if not self._busy_connections:
+            self._exchanges.pop(connection, None)
+            if not self._exchanges:
                 self._all_idle.set()
         self._record_outcome(exchange.outcome)
         if self._is_draining:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -469,6 +469,26 @@
         await stopping
         assert b"200 OK" in response and response.endswith(b" stop")
 
+    async def test_requests_left_at_the_end_of_a_stop_are_answered(self, fleet: Fleet):
+        """Guards against connections that close without an answer at the end of the grace."""
+        for name in ("booking-0", "booking-1"):
+            fleet.servers[name].work_ms = 20_000
+        patient = {**ORDERS, "Timeout": "20000ms", "TargetLatency": "15000ms"}
+        fleet.publish(2, [READS, patient, KEYED], sharded=("stock",))
+        await _wait_for(lambda: fleet.daemons["entry-1"]._configuration.current.version == 2)
+        calls = [
+            asyncio.create_task(fleet.call("/orders/", method="POST", deadline=19_000))
+            for _ in range(14)
+        ]
+        await _wait_for(lambda: fleet.daemons["entry-1"]._listener.in_flight == 14)
+        await _wait_for(lambda: len(_runs(fleet, "booking")) == 8)
+        listener = fleet.daemons["entry-1"]._listener
+        listener.start_draining()
+        # Far less than the requests take at the servers.
+        await asyncio.wait_for(listener.stop(400), 10)
+        assert sorted([(await call)[0] for call in calls]) == [503] * 6 + [504] * 8
+        assert len(_runs(fleet, "booking")) == 8
+
     async def test_new_leader_keeps_the_owners(self, fleet: Fleet):
         await fleet.add_daemon("entry-2")
         await fleet.wait_ready()
