Read responses of the log service for as long as they arrive

A response of the log service was cut off 1.5 s after the call, also while it arrived, so that a large configuration over a slow or shared link was read again and again: BODY_TIMEOUT_MS never applied, since the timeout of the call enclosed it.

The timeout of a read now follows the arrival: 1 s for each part, 2.5 s in all from the start of the response.

--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -40,8 +40,9 @@
 APPEND_TIMEOUT_MS = 1_000
 # Time for a response, in addition to the wait that a read asks for.
 READ_TIMEOUT_MS = 1_500
-# Time for the rest of a response whose beginning has arrived.
+# Time for the rest of a response whose beginning has arrived, and for each part of it.
 BODY_TIMEOUT_MS = 2_500
+BODY_PART_TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_S = 10.0
 # A poll on a dead connection ends within 2 s, so that reads catch up within the time after which
@@ -156,14 +157,16 @@
         client_timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000)
         try:
             async with (
-                asyncio.timeout(timeout / 1_000),
+                asyncio.timeout(timeout / 1_000) as response_timeout,
                 self._session(attempt is not None and attempt.new_connection).request(
                     method, self._url + path, params=query, data=data, timeout=client_timeout
                 ) as response,
             ):
                 if attempt is not None:
                     attempt.record_response_start()
-                async with asyncio.timeout(BODY_TIMEOUT_MS / 1_000):
+                if data is None:
+                    body = await _read_body(response, response_timeout)
+                else:
                     body = await response.read()
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
@@ -187,6 +190,19 @@
         return session
 
 
+async def _read_body(response: aiohttp.ClientResponse, timeout: asyncio.Timeout) -> bytes:
+    """Return the body; *timeout* follows its arrival, so that a slow response isn't cut off."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + BODY_TIMEOUT_MS / 1_000
+    body = bytearray()
+    while True:
+        timeout.reschedule(min(end, loop.time() + BODY_PART_TIMEOUT_MS / 1_000))
+        part = await response.content.readany()
+        if not part:
+            return bytes(body)
+        body += part
+
+
 def _create_socket(info: tuple) -> socket.socket:
     family, socket_type, protocol, _, _ = info
     created = socket.socket(family, socket_type, protocol)
--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -156,9 +156,10 @@
 
 
 class SlowLogServer:
-    """Lists nothing; answers a read with one record whose bytes arrive over 1.2 s."""
+    """Lists nothing; answers a read with one record whose bytes arrive over *duration_s*."""
 
-    def __init__(self) -> None:
+    def __init__(self, duration_s: float) -> None:
+        self._duration_s = duration_s
         self.reads = 0
         self._server: asyncio.Server | None = None
 
@@ -179,7 +180,7 @@
                 body += b"" if is_read else b'"End":0}'
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
                 for byte in body:
-                    await asyncio.sleep(1.2 / len(body) if is_read else 0)
+                    await asyncio.sleep(self._duration_s / len(body) if is_read else 0)
                     writer.write(bytes((byte,)))
 
     def close(self) -> None:
@@ -191,24 +192,33 @@
 
     async def test_read_whose_response_is_arriving_is_not_repeated(self):
         """Each repeated read of a large record slows down all of them."""
-        server, seen = SlowLogServer(), asyncio.Event()
-        log = LogServiceClient(await server.start())
-        consumer = StreamConsumer(
-            log,
-            Stream("op"),
-            SystemClock(),
-            lambda records, context: None,
-            lambda record, context: seen.set(),
-        )
-        consumer.poll_now()
-        task = asyncio.create_task(consumer.run())
-        async with asyncio.timeout(30):
-            await seen.wait()
-        reads = server.reads
-        task.cancel()
-        await log.close()
-        server.close()
-        assert reads == 1
+        assert await _count_reads(1.2) == 1
+
+    async def test_response_that_arrives_for_longer_than_its_start_may_take_is_read(self):
+        """Otherwise a large configuration is never read over a slow link."""
+        assert await _count_reads(1.9) == 1
+
+
+async def _count_reads(duration_s: float) -> int:
+    """Return how many reads it takes to receive a record that arrives over *duration_s*."""
+    server, seen = SlowLogServer(duration_s), asyncio.Event()
+    log = LogServiceClient(await server.start())
+    consumer = StreamConsumer(
+        log,
+        Stream("op"),
+        SystemClock(),
+        lambda records, context: None,
+        lambda record, context: seen.set(),
+    )
+    consumer.poll_now()
+    task = asyncio.create_task(consumer.run())
+    async with asyncio.timeout(30):
+        await seen.wait()
+    reads = server.reads
+    task.cancel()
+    await log.close()
+    server.close()
+    return reads
 
 
 class TestDirectoryAfterAnOutage:
