Return to the leader's permits at once, and lose unused turns sooner

While no leader issued permits, a daemon's own share may have had no room for tens of seconds. It kept that wait also after the leader's return or the end of the limit, and told it to callers as Retry-After.

Only a leader's denial is remembered, for at most 0.5 s and while the limit is in force; without a leader callers are told to return within 1 s. test_end_of_a_limit_ends_the_known_wait failed before. Daemons whose request was lost used their own shares beside the leader's permits, and turns of a whole second before a window counted in it. A request for a permit is now sent twice before the own share is used, and unused turns are lost after 0.5 s.

--- a/src/fuchsiatrack/gateway/permitchannel.py
+++ b/src/fuchsiatrack/gateway/permitchannel.py
@@ -13,9 +13,10 @@
 from fuchsiatrack.limits.registry import LimitNotice, LimitRegistry
 from fuchsiatrack.peers.permitmessages import PermitRequest, PermitResponse
 
-# Longest wait for the leader's decision: many round trips within a region, yet short enough to
-# serve the request without the leader.
-DECISION_TIMEOUT_MS = 100
+# Wait for the leader's decision before its request is sent once more: many round trips within a
+# region, yet short enough to serve the caller's request without the leader.
+DECISION_TIMEOUT_MS = 50
+DECISION_SENDS = 2
 # A leader that sent no acknowledgement for this long is not asked.
 LEADER_SILENCE_MAX_MS = 1_000
 
@@ -82,12 +83,13 @@
         number = next(self._numbers)
         decision = self._pending[number] = asyncio.get_running_loop().create_future()
         try:
-            self._send(PermitRequest(number, max_delay, notice), leader)
-            async with asyncio.timeout(DECISION_TIMEOUT_MS / 1_000):
-                return await decision
-        except TimeoutError:
-            # Not asked again before its next acknowledgement.
-            self._heard_at = None
-            return None
+            for _ in range(DECISION_SENDS):
+                self._send(PermitRequest(number, max_delay, notice), leader)
+                await asyncio.wait([decision], timeout=DECISION_TIMEOUT_MS / 1_000)
+                if decision.done():
+                    return decision.result()
         finally:
             del self._pending[number]
+        # Not asked again before its next acknowledgement.
+        self._heard_at = None
+        return None
--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -18,6 +18,9 @@
 # Part of an equal share that a daemon uses while no leader issues permits: the daemons that share
 # the limit may be more than were counted, and their turns may meet by chance.
 UNLED_SHARE_RATIO = 0.8
+# By then there is usually a leader again, so that callers needn't wait for the daemon's own share.
+LEADER_RETURN_MS = 1_000
+DENIAL_MEMORY_MAX_MS = 500
 
 
 class LimitReached(Exception):
@@ -67,6 +70,8 @@
 
     def expected_delay(self, server: ServerIncarnation) -> int:
         """Return for how long *server* is known to have no room, in milliseconds."""
+        if self._registry.find(server) is None:
+            return 0
         return max(0, self._full_until.get(server, 0) - self._clock.now())
 
     async def acquire(self, server: ServerIncarnation, max_delay: int) -> bool:
@@ -83,11 +88,8 @@
         known_delay = self.expected_delay(server)
         if known_delay > max_delay:
             raise self._limit_reached(server, rate, known_delay)
-        permit = await self._channel.request(server, max_delay)
-        if permit is None:
-            permit = self._request_own_share(server, max_delay)
+        permit = await self._request_permit(server, max_delay)
         if not permit.granted:
-            self._full_until[server] = self._clock.now() + permit.delay
             raise self._limit_reached(server, rate, permit.delay)
         self._metrics.count("permits.granted")
         try:
@@ -117,6 +119,16 @@
                 return True
         return False
 
+    async def _request_permit(self, server: ServerIncarnation, max_delay: int) -> Permit:
+        permit = await self._channel.request(server, max_delay)
+        if permit is None:
+            return self._request_own_share(server, max_delay)
+        if not permit.granted:
+            # The leader isn't asked again before there is room, unless the limit may have changed.
+            known_delay = min(permit.delay, DENIAL_MEMORY_MAX_MS)
+            self._full_until[server] = self._clock.now() + known_delay
+        return permit
+
     def _request_own_share(self, server: ServerIncarnation, max_delay: int) -> Permit:
         """Decide by this daemon's share of the limit."""
         self._metrics.count("permits.unled")
@@ -129,7 +141,9 @@
         first_turn = now + self._rng.uniform(0, 1_000 / share) if share else math.inf
         limiter = limiter_for(self._own_shares, server, share, first_turn, now)
         delay = limiter.reserve(now, max_delay)
-        return Permit(False, limiter.delay(now)) if delay is None else Permit(True, delay)
+        if delay is not None:
+            return Permit(True, delay)
+        return Permit(False, min(limiter.delay(now), LEADER_RETURN_MS))
 
     def _limit_reached(self, server: ServerIncarnation, rate: float, delay: int) -> LimitReached:
         self._metrics.count("permits.denied")
--- a/src/fuchsiatrack/limits/ratelimiter.py
+++ b/src/fuchsiatrack/limits/ratelimiter.py
@@ -4,9 +4,9 @@
 
 import math
 
-# A turn that is not used within this time is lost.  For the sum over any number of rate limiters,
-# requests in a window of W seconds are therefore at most those of W + 1 seconds at the full rate.
-TURN_LIFETIME_MS = 1_000
+# A turn that is not used within this time is lost.  A window of any length therefore has at most
+# the turns that begin in it, or by this time earlier, also in the sum over many rate limiters.
+TURN_LIFETIME_MS = 500
 # Lower rates are raised to this one, so that the end of a limit is noticed.
 RATE_MIN_PER_S = 0.1
 
