Forget the limits of servers that have left

The registry records listed servers only, whatever others tell. test_server_that_is_not_listed_is_forgotten_for_good failed to hold with the registry before, which had no way to know.

--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -102,6 +102,11 @@
         """Return the entry of the server with id *server*, or None if it is not listed."""
         return self._entries.get(server)
 
+    def is_listed(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether *incarnation* is listed."""
+        entry = self._entries.get(incarnation.server)
+        return entry is not None and entry.incarnation == incarnation
+
     def of_service(self, service: str) -> tuple[ServerEntry, ...]:
         """Return the listed servers of *service*, sorted by id."""
         return self._by_service.get(service, ())
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -65,7 +65,6 @@
         self._control_connections = ConnectionPool(self._clock, self._response_memory)
         self._stats = ServerStatsRegistry(self._clock)
         self._queues = AdmissionQueues(self._clock)
-        self._limits = LimitRegistry()
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._metrics = TextMetrics()
         self._traffic = TrafficCounter(self._metrics, settings.failure_domain)
@@ -73,6 +72,7 @@
         self._configuration = ConfigurationHolder(adapter)
         self._departure_budget = DepartureBudget(settings.drain, settings.contact)
         self._directory = ServerDirectory(self._clock, self._departure_budget)
+        self._limits = LimitRegistry(self._directory.is_listed)
         self._consumers = self._create_consumers()
         self._range_service = RangeService(
             settings,
@@ -278,9 +278,8 @@
             listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
             self._connections.sweep(listed)
             self._queues.keep_only(frozenset(self._directory.entries))
-            incarnations = [item.incarnation for item in self._directory.entries.values()]
-            self._limits.keep_only(incarnations, self._clock.now())
-            self._permits.keep_only(incarnations)
+            self._limits.drop_outdated(self._clock.now())
+            self._permits.drop_outdated()
 
     def _read_gauges(self) -> dict[str, float]:
         table = self._configuration.current
--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -6,7 +6,7 @@
 import collections
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock
@@ -105,9 +105,9 @@
             expires_at = self._clock.now() + TURN_LIFETIME_MS
             self._unused.setdefault(server, collections.deque()).append(expires_at)
 
-    def keep_only(self, listed: Iterable[ServerIncarnation]) -> None:
-        """Drop what is known of servers that are not in *listed* or set no limit."""
-        kept = frozenset(listed) & self._registry.rates.keys()
+    def drop_outdated(self) -> None:
+        """Drop what is known of servers that set no limit any more."""
+        kept = self._registry.rates.keys()
         for by_server in (self._own_shares, self._unused, self._full_until):
             for server in by_server.keys() - kept:
                 del by_server[server]
--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 
@@ -36,9 +36,14 @@
 
 
 class LimitRegistry:
-    """The latest statement of each server that sets a limit or has recently ended one."""
+    """The latest statement of each server that sets a limit or has recently ended one.
 
-    def __init__(self) -> None:
+    *is_listed* tells whether a server is still in the directory; others are not recorded, since
+    daemons would remind each other of them for ever.
+    """
+
+    def __init__(self, is_listed: Callable[[ServerIncarnation], bool]) -> None:
+        self._is_listed = is_listed
         self._observations: dict[ServerIncarnation, _Observation] = {}
 
     @property
@@ -85,16 +90,18 @@
             if known is None or known.observed_at < observed_at:
                 self._put(notice.server, _Observation(notice.rate, observed_at))
 
-    def keep_only(self, listed: Iterable[ServerIncarnation], now: int) -> None:
-        """Drop servers that are not in *listed*, and limits that ended some time ago."""
-        kept = frozenset(listed)
+    def drop_outdated(self, now: int) -> None:
+        """Drop servers that are no longer listed, and limits that ended some time ago."""
         self._observations = {
             server: item
             for server, item in self._observations.items()
-            if server in kept and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
+            if self._is_listed(server)
+            and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
         }
 
     def _put(self, server: ServerIncarnation, observation: _Observation) -> None:
+        if not self._is_listed(server):
+            return
         known = self.find(server)
         self._observations[server] = observation
         if known != observation.rate:
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -45,7 +45,7 @@
     """Which observation of a server's limit counts."""
 
     def test_limit_ends_with_a_response_to_a_later_request(self):
-        registry = LimitRegistry()
+        registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
         registry.record_response(SERVER, None, sent_at=140, now=160)
         assert registry.find(SERVER) == 5.0
@@ -53,7 +53,7 @@
         assert registry.find(SERVER) is None
 
     def test_later_observation_of_another_daemon_counts(self):
-        registry = LimitRegistry()
+        registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
         registry.merge([LimitNotice(SERVER, 9.0, 51)], 200)
         assert registry.find(SERVER) == 5.0
@@ -61,12 +61,16 @@
         assert registry.find(SERVER) == 2.0
 
     def test_next_incarnation_starts_without_a_limit(self):
-        registry = LimitRegistry()
+        registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
         assert registry.find(ServerIncarnation("s1", 2)) is None
 
-    def test_server_that_is_not_listed_is_forgotten(self):
-        registry = LimitRegistry()
+    def test_server_that_is_not_listed_is_forgotten_for_good(self):
+        """Two daemons that drop it at different times would remind each other of it."""
+        listed = {SERVER}
+        registry = LimitRegistry(listed.__contains__)
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
-        registry.keep_only([ServerIncarnation("s1", 2)], 200)
-        assert not registry.notices(200)
+        listed.clear()
+        registry.drop_outdated(200)
+        registry.merge([LimitNotice(SERVER, 5.0, 50)], 210)
+        assert not registry.notices(210)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -82,7 +82,7 @@
     """The leader decides for all daemons."""
 
     def test_denied_request_learns_when_there_will_be_room(self):
-        registry = LimitRegistry()
+        registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 4.0, 0, 0)
         issuer = PermitIssuer(registry)
         assert issuer.request(SERVER, 0, 1_000) == Permit(True, 0)
@@ -90,7 +90,7 @@
         assert issuer.request(SERVER, 250, 1_000) == Permit(True, 250)
 
     def test_ended_limit_needs_no_turn(self):
-        registry = LimitRegistry()
+        registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 0.5, 0, 0)
         issuer = PermitIssuer(registry)
         issuer.request(SERVER, 0, 100)
@@ -107,7 +107,7 @@
         self.is_cut_off = False
         self.sent_at: list[int] = []
         self.denied = 0
-        self.registry = LimitRegistry()
+        self.registry = LimitRegistry(lambda server: True)
         self._fleet = fleet
         self._clock = NodeClock()
         self.channel = LeaderPermitChannel(
--- a/tests/test_range_faults.py
+++ b/tests/test_range_faults.py
@@ -121,7 +121,7 @@
             self.saved[-1] if self.saved else OwnershipMap(),
             lambda item: self.clock.now(),
             self.saved.save,
-            LimitRegistry(),
+            LimitRegistry(lambda server: True),
         )
         self.task = asyncio.create_task(self.controller.run())
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -659,7 +659,7 @@
             OwnershipMap(),
             lambda item: clock.now(),
             saved.save,
-            LimitRegistry(),
+            LimitRegistry(lambda server: True),
         )
         task = asyncio.create_task(controller.run())
         yield grant_client, leadership, directory, saved
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -99,3 +99,21 @@
         arrivals = [item.at_s for item in limited.arrivals]
         assert most_requests(arrivals, since_s) <= allowed_requests(2.0)
         assert set(load.statuses) == {200}
+
+
+class TestKeysOfLimitedServers:
+    """Keys move to servers that have room, so that their requests aren't rejected."""
+
+    async def test_limited_server_keeps_keys_with_no_more_load_than_its_limit(self, fleet: Fleet):
+        for index in range(1, 6):
+            await fleet.add_server(f"stock-{index}", "stock", keyed=True)
+        keys, rate, limit = tuple(range(0, 65_536, 331)), 90, 3.0
+        load = Load(fleet, "/stock/", keys)
+        await load.run(rate, 6)
+        limited = [fleet.servers[name] for name in ("stock-1", "stock-2")]
+        for server in limited:
+            server.name_limit(str(limit))
+        await load.run(rate, 8)
+        for server in limited:
+            owned = sum(server.owns(key) for key in keys)
+            assert rate * owned / len(keys) <= limit
