Keep own shares below one request in ten seconds as they are

Without a leader, 195 daemons sent 30 requests in 4 s to a server that had named 2 a second (17 allowed), 66 daemons 33, and 480 daemons 54 to one that had named 8 (53 allowed): RateLimiter raised every rate to the floor of a server's limit, 0.1 a second, also each daemon's share of it.

The floor now applies to what a server names, in the registry, and never to a share. Found by reading; test_own_shares_keep_the_limit_for_any_time failed before. Tests of a limit of 0 move to the issuer and to the rates that the planner gets, which are never 0; RateLimiter and the planner are given rates above 0 only.

--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -4,7 +4,6 @@
 
 import abc
 import collections
-import math
 import random
 from collections.abc import Callable
 
@@ -138,7 +137,7 @@
         now = self._clock.now()
         share = rate * UNLED_SHARE_RATIO / max(1, self._daemon_count())
         # A random phase keeps the daemons' turns apart.
-        first_turn = now + self._rng.uniform(0, 1_000 / share) if share else math.inf
+        first_turn = now + self._rng.uniform(0, 1_000 / share)
         limiter = limiter_for(self._own_shares, server, share, first_turn, now)
         delay = limiter.reserve(now, max_delay)
         if delay is not None:
@@ -148,5 +147,5 @@
     def _limit_reached(self, server: ServerIncarnation, rate: float, delay: int) -> LimitReached:
         self._metrics.count("permits.denied")
         # Spread over the next turns, so that callers don't return at the same moment.
-        spread = self._rng.uniform(0, 1_000 / rate) if rate else 0
+        spread = self._rng.uniform(0, 1_000 / rate)
         return LimitReached(server.server, int(delay + spread) + 1)
--- a/src/fuchsiatrack/limits/ratelimiter.py
+++ b/src/fuchsiatrack/limits/ratelimiter.py
@@ -7,8 +7,6 @@
 # A turn that is not used within this time is lost.  A window of any length therefore has at most
 # the turns that begin in it, or by this time earlier, also in the sum over many rate limiters.
 TURN_LIFETIME_MS = 500
-# Lower rates are raised to this one, so that the end of a limit is noticed.
-RATE_MIN_PER_S = 0.1
 
 
 class RateLimiter:
@@ -16,11 +14,11 @@
 
     Answers the load pattern of many callers that together send more than a server takes: turns are
     reserved ahead, so that a caller knows at once whether and when its request can be sent.
-    *rate* is in requests per second and *first_turn* a time in milliseconds.
+    *rate* is in requests per second, above 0, and *first_turn* a time in milliseconds.
     """
 
     def __init__(self, rate: float, first_turn: float) -> None:
-        self._rate = max(rate, RATE_MIN_PER_S)
+        self._rate = rate
         self._next_turn = first_turn
 
     @property
@@ -36,7 +34,7 @@
     def change_rate(self, rate: float, now: int) -> None:
         """Change the rate; turns that are reserved ahead keep their number."""
         reserved = (self._next_turn - now) / self.interval
-        self._rate = max(rate, RATE_MIN_PER_S)
+        self._rate = rate
         self._next_turn = now + reserved * self.interval
 
     def delay(self, now: int) -> int:
--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -10,6 +10,8 @@
 
 # The end of a limit is told to other daemons for this long, so that none restores the limit.
 END_MEMORY_MS = 5_000
+# Lower limits count as this one, so that their end is noticed.
+RATE_MIN_PER_S = 0.1
 
 log = logging.getLogger(__name__)
 
@@ -50,7 +52,7 @@
     def rates(self) -> dict[ServerIncarnation, float]:
         """The limits in force, in requests per second, by server."""
         return {
-            server: item.rate
+            server: max(item.rate, RATE_MIN_PER_S)
             for server, item in self._observations.items()
             if item.rate is not None
         }
@@ -58,7 +60,9 @@
     def find(self, server: ServerIncarnation) -> float | None:
         """Return the limit of *server* in requests per second, None if it sets none."""
         observation = self._observations.get(server)
-        return observation.rate if observation is not None else None
+        if observation is None or observation.rate is None:
+            return None
+        return max(observation.rate, RATE_MIN_PER_S)
 
     def notices(self, now: int) -> tuple[LimitNotice, ...]:
         """Return what to tell other daemons."""
@@ -102,12 +106,13 @@
     def _put(self, server: ServerIncarnation, observation: _Observation) -> None:
         if not self._is_listed(server):
             return
-        known = self.find(server)
+        before = self._observations.get(server)
+        before_rate = before.rate if before is not None else None
         self._observations[server] = observation
-        if known != observation.rate:
+        if before_rate != observation.rate:
             fields = {
                 "server": server.server,
                 "rate_per_s": observation.rate,
-                "before_per_s": known,
+                "before_per_s": before_rate,
             }
             log.info("server limit changed", extra=fields)
--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -8,7 +8,6 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.kernel.registry import register
-from fuchsiatrack.limits.ratelimiter import RATE_MIN_PER_S
 from fuchsiatrack.ranges.load import KeyRate, KeyRates
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 
@@ -59,7 +58,7 @@
     `capacities` maps each server that may own keys to the number of requests that it processes at
     once, relative to a server of median speed. Ranges of other owners must move. `service_time` is
     that of the median server in milliseconds, 0 if it isn't known.  `limits` has the requests per
-    second of each server that limits them.
+    second, above 0, of each server that limits them.
     """
 
     ownership: OwnershipMap
@@ -290,7 +289,7 @@
     """
     capacities = dict(planner_input.capacities)
     rates = {
-        server: max(planner_input.limits[server], RATE_MIN_PER_S) * LIMIT_USED_RATIO
+        server: planner_input.limits[server] * LIMIT_USED_RATIO
         for server in capacities.keys() & planner_input.limits.keys()
     }
     limited: set[ServerIncarnation] = set()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -56,14 +56,8 @@
         limiter.change_rate(1, 0)
         assert limiter.delay(0) == 3_000
 
-    def test_limit_of_zero_lets_a_request_pass_now_and_then(self):
-        limiter = RateLimiter(0, first_turn=0)
-        assert limiter.reserve(0, 0) == 0
-        assert limiter.reserve(1, 0) is None
-        assert limiter.reserve(10_200, 0) == 0
-
     @given(
-        st.floats(0, 60),
+        st.floats(0.001, 60),
         st.lists(st.tuples(st.integers(0, 400), st.integers(0, 900)), max_size=300),
     )
     @settings(max_examples=100, deadline=None)
@@ -89,6 +83,14 @@
         assert issuer.request(SERVER, 100, 1_000) == Permit(False, 250)
         assert issuer.request(SERVER, 250, 1_000) == Permit(True, 250)
 
+    def test_limit_of_zero_lets_a_request_pass_now_and_then(self):
+        registry = LimitRegistry(lambda server: True)
+        registry.record_response(SERVER, 0.0, 0, 0)
+        issuer = PermitIssuer(registry)
+        assert issuer.request(SERVER, 0, 0).granted
+        assert not issuer.request(SERVER, 0, 1).granted
+        assert issuer.request(SERVER, 0, 10_200).granted
+
     def test_ended_limit_needs_no_turn(self):
         registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 0.5, 0, 0)
@@ -258,6 +260,20 @@
 
         run_virtual(scenario())
 
+    @pytest.mark.parametrize(("count", "limit"), [(8, 0.5), (66, 2.0), (195, 2.0), (480, 8.0)])
+    def test_own_shares_keep_the_limit_for_any_time(self, count: int, limit: float):
+        """A share may be far below the lowest limit of a server."""
+
+        async def scenario():
+            fleet = PermitFleet(count, limit, seed=count)
+            fleet.leader = None
+            for daemon in fleet.daemons:
+                daemon.registry.record_response(SERVER, limit, 0, 0)
+            await fleet.run(rate=200, seconds=60)
+            assert most_in_window(fleet.sent_at) <= allowed(limit)
+
+        run_virtual(scenario())
+
     @pytest.mark.parametrize("seed", range(4))
     def test_daemons_that_are_cut_off_and_return_keep_the_limit(self, seed: int):
         """A machine that is cut off is excused by the rule, so only the others are counted."""
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -321,7 +321,7 @@
         assert len(BalancedPlanner().plan(planner_input)) >= 8
 
     @pytest.mark.parametrize("service_time", [0.0, 20.0])
-    @pytest.mark.parametrize("limits", [{0: 4.0}, {0: 8.0, 1: 2.0}, {2: 0.0}])
+    @pytest.mark.parametrize("limits", [{0: 4.0}, {0: 8.0, 1: 2.0}, {2: 0.1}])
     def test_server_that_limits_its_requests_keeps_keys_within_its_limit(
         self, limits: dict[int, float], service_time: float
     ):
