Let plans count on a limit for some time after it has ended

A server whose limit comes and goes lost its keys while it named the limit and got them back as soon as it didn't: its callers were rejected each time, and keys moved without end.

Plans keep a limit for 15 s after its end; permits end with it at once.

--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -8,8 +8,9 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 
-# The end of a limit is told to other daemons for this long, so that none restores the limit.
-END_MEMORY_MS = 5_000
+# A limit that has ended is remembered for this long: other daemons are told of the end, so that
+# none restores it, and plans still count on it, since the server may soon be in need again.
+END_MEMORY_MS = 15_000
 # Lower limits count as this one, so that their end is noticed.
 RATE_MIN_PER_S = 0.1
 
@@ -31,10 +32,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Observation:
-    """The latest statement of a server, at `observed_at` by this daemon's clock."""
+    """The latest statement of a server, at `observed_at` by this daemon's clock.
+
+    `last_rate` is `rate`, or the one before the limit ended; None if it isn't known.
+    """
 
     rate: float | None
     observed_at: int
+    last_rate: float | None
 
 
 class LimitRegistry:
@@ -57,6 +62,15 @@
             if item.rate is not None
         }
 
+    @property
+    def planned_rates(self) -> dict[ServerIncarnation, float]:
+        """The limits in force and those that ended within `END_MEMORY_MS`, by server."""
+        return {
+            server: max(item.last_rate, RATE_MIN_PER_S)
+            for server, item in self._observations.items()
+            if item.last_rate is not None
+        }
+
     def find(self, server: ServerIncarnation) -> float | None:
         """Return the limit of *server* in requests per second, None if it sets none."""
         observation = self._observations.get(server)
@@ -82,7 +96,7 @@
         known = self._observations.get(server)
         if rate is None and (known is None or known.rate is None or sent_at <= known.observed_at):
             return
-        self._put(server, _Observation(rate, now))
+        self._put(server, rate, now)
 
     def merge(self, notices: Iterable[LimitNotice], now: int) -> None:
         """Record what another daemon observed, where that is later than what is known."""
@@ -92,7 +106,7 @@
             if known is None and notice.rate is None:
                 continue
             if known is None or known.observed_at < observed_at:
-                self._put(notice.server, _Observation(notice.rate, observed_at))
+                self._put(notice.server, notice.rate, observed_at)
 
     def drop_outdated(self, now: int) -> None:
         """Drop servers that are no longer listed, and limits that ended some time ago."""
@@ -103,16 +117,14 @@
             and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
         }
 
-    def _put(self, server: ServerIncarnation, observation: _Observation) -> None:
+    def _put(self, server: ServerIncarnation, rate: float | None, observed_at: int) -> None:
         if not self._is_listed(server):
             return
         before = self._observations.get(server)
         before_rate = before.rate if before is not None else None
-        self._observations[server] = observation
-        if before_rate != observation.rate:
-            fields = {
-                "server": server.server,
-                "rate_per_s": observation.rate,
-                "before_per_s": before_rate,
-            }
+        last_rate = before.last_rate if before is not None else None
+        last_rate = last_rate if rate is None else rate
+        self._observations[server] = _Observation(rate, observed_at, last_rate)
+        if before_rate != rate:
+            fields = {"server": server.server, "rate_per_s": rate, "before_per_s": before_rate}
             log.info("server limit changed", extra=fields)
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -197,7 +197,7 @@
         capacities = self._capacities()
         service_time = self.service_times.median(item.server for item in capacities)
         planner_input = PlannerInput(
-            self._map, capacities, self.key_load.rates(), service_time, self._limits.rates
+            self._map, capacities, self.key_load.rates(), service_time, self._limits.planned_rates
         )
         moves = self._planner.plan(planner_input)
         if not moves:
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -7,7 +7,7 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.gateway.headers import ReportedLimit
-from fuchsiatrack.limits.registry import LimitNotice, LimitRegistry
+from fuchsiatrack.limits.registry import END_MEMORY_MS, LimitNotice, LimitRegistry
 from fuchsiatrack.platform.headers import PlatformHeaderCodec
 
 SERVER = ServerIncarnation("s1", 1)
@@ -65,6 +65,17 @@
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
         assert registry.find(ServerIncarnation("s1", 2)) is None
 
+    def test_plans_count_on_a_limit_for_some_time_after_its_end(self):
+        """Keys would return to a server that is in need again with their load."""
+        registry = LimitRegistry(lambda server: True)
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        registry.record_response(SERVER, None, sent_at=200, now=300)
+        registry.drop_outdated(300 + END_MEMORY_MS - 1)
+        assert registry.find(SERVER) is None
+        assert registry.planned_rates == {SERVER: 5.0}
+        registry.drop_outdated(300 + END_MEMORY_MS)
+        assert registry.planned_rates == {}
+
     def test_server_that_is_not_listed_is_forgotten_for_good(self):
         """Two daemons that drop it at different times would remind each other of it."""
         listed = {SERVER}
