Give keys to servers whose limit has ended when the others need it

Cause here: since plans took a limit as in force for 15 s after its end. With limits that pass from server to server nearly all of them count as limited, and the keys end up on the two to four that don't: i-7cec75a2f2 and i-76dbe963e6 served 107 and 97 requests a second and turned away 398 and 250 while twelve others had 4 to 13.

Plans now count on ended limits, the latest first, only while the servers without a limit use at most 0.6 of their capacity, and leave such servers what they have.

--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -9,7 +9,7 @@
 from fuchsiatrack.directory.servers import ServerIncarnation
 
 # A limit that has ended is remembered for this long: other daemons are told of the end, so that
-# none restores it, and plans still count on it, since the server may soon be in need again.
+# none restores it, and plans don't return keys needlessly, since it may soon be set again.
 END_MEMORY_MS = 15_000
 # Lower limits count as this one, so that their end is noticed.
 RATE_MIN_PER_S = 0.1
@@ -63,13 +63,15 @@
         }
 
     @property
-    def planned_rates(self) -> dict[ServerIncarnation, float]:
-        """The limits in force and those that ended within `END_MEMORY_MS`, by server."""
-        return {
-            server: max(item.last_rate, RATE_MIN_PER_S)
+    def recent_limits(self) -> dict[ServerIncarnation, float]:
+        """The last limits of servers that ended them within `END_MEMORY_MS`, latest end first."""
+        ended = [
+            (server, item)
             for server, item in self._observations.items()
-            if item.last_rate is not None
-        }
+            if item.rate is None and item.last_rate is not None
+        ]
+        ended.sort(key=lambda row: row[1].observed_at, reverse=True)
+        return {server: max(item.last_rate, RATE_MIN_PER_S) for server, item in ended}
 
     def find(self, server: ServerIncarnation) -> float | None:
         """Return the limit of *server* in requests per second, None if it sets none."""
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -197,7 +197,12 @@
         capacities = self._capacities()
         service_time = self.service_times.median(item.server for item in capacities)
         planner_input = PlannerInput(
-            self._map, capacities, self.key_load.rates(), service_time, self._limits.planned_rates
+            self._map,
+            capacities,
+            self.key_load.rates(),
+            service_time,
+            self._limits.rates,
+            self._limits.recent_limits,
         )
         moves = self._planner.plan(planner_input)
         if not moves:
--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import itertools
 from collections.abc import Collection, Mapping
 
 from fuchsiatrack.directory.servers import ServerIncarnation
@@ -37,6 +38,9 @@
 HOT_KEY_CAPACITY_RATIO_MIN = 1.25
 # Share of the rate to which a server limits its requests that is planned for it.
 LIMIT_USED_RATIO = 0.8
+# Limits that have ended are planned for as if they were in force while the servers without a limit
+# use at most this share of their capacity.
+COMFORTABLE_RATIO = 0.6
 # The keys of a server that must no longer own any go to several others; each piece of a range but
 # the last has at least this share of the load of the range.
 PIECE_SHARE_MIN = 0.34
@@ -58,7 +62,8 @@
     `capacities` maps each server that may own keys to the number of requests that it processes at
     once, relative to a server of median speed. Ranges of other owners must move. `service_time` is
     that of the median server in milliseconds, 0 if it isn't known.  `limits` has the requests per
-    second, above 0, of each server that limits them.
+    second, above 0, of each server that limits them, and `recent_limits` the last ones of servers
+    that have ended theirs and may soon set them again, the latest end first.
     """
 
     ownership: OwnershipMap
@@ -66,6 +71,7 @@
     rates: KeyRates
     service_time: float = 0.0
     limits: Mapping[ServerIncarnation, float] = dataclasses.field(default_factory=dict)
+    recent_limits: Mapping[ServerIncarnation, float] = dataclasses.field(default_factory=dict)
 
 
 class RangePlanner(abc.ABC):
@@ -110,7 +116,7 @@
             for item in self._rates.busiest(len(planner_input.capacities))
             if item.rate >= HOT_KEY_RATE_MIN_PER_S
         ]
-        self._capacities = _limited_capacities(planner_input)
+        self._capacities = _usable_capacities(planner_input, self._loads)
         self._rate_per_capacity = _fair_rate_per_capacity(
             self._rates.total, hot_keys, self._capacities.values()
         )
@@ -281,17 +287,42 @@
         return PlannedMove(item.first, self._rates.split_key(item.first, item.last, rate), target)
 
 
-def _limited_capacities(planner_input: PlannerInput) -> dict[ServerIncarnation, float]:
+def _usable_capacities(
+    planner_input: PlannerInput, loads: Mapping[ServerIncarnation, float]
+) -> dict[ServerIncarnation, float]:
     """Return the capacities, smaller ones for servers whose limit is below their fair share.
 
+    A server with a recent limit keeps its load, but gets no more than the limit unless the others
+    need it.
+    """
+    recent_limits = {
+        server: max(rate * LIMIT_USED_RATIO, loads.get(server, 0.0))
+        for server, rate in planner_input.recent_limits.items()
+    }
+    limits = {server: rate * LIMIT_USED_RATIO for server, rate in planner_input.limits.items()}
+    utilization_per_rate = planner_input.service_time / 1_000
+    while recent_limits:
+        capacities, rate_per_capacity = _limited_capacities(planner_input, recent_limits | limits)
+        utilization = rate_per_capacity * utilization_per_rate
+        if rate_per_capacity > 0 and utilization <= COMFORTABLE_RATIO:
+            return capacities
+        latest = itertools.islice(recent_limits.items(), len(recent_limits) // 2)
+        recent_limits = dict(latest)
+    capacities, _ = _limited_capacities(planner_input, limits)
+    return capacities
+
+
+def _limited_capacities(
+    planner_input: PlannerInput, limits: Mapping[ServerIncarnation, float]
+) -> tuple[dict[ServerIncarnation, float], float]:
+    """Return the capacities if servers get at most their *limits*, and the rate for each unit.
+
     A limited server's capacity is the one whose fair share is its limit.  The others' shares grow
-    by what the limited ones can't take, so that further servers may exceed their limits.
+    by what the limited ones can't take, so that further servers may exceed their limits.  The rate,
+    in requests per second, is 0 if every server is limited.
     """
     capacities = dict(planner_input.capacities)
-    rates = {
-        server: planner_input.limits[server] * LIMIT_USED_RATIO
-        for server in capacities.keys() & planner_input.limits.keys()
-    }
+    rates = {server: limits[server] for server in capacities.keys() & limits.keys()}
     limited: set[ServerIncarnation] = set()
     total = planner_input.rates.total
     while True:
@@ -301,7 +332,7 @@
         free_rate = total - sum(rates[server] for server in limited)
         if free_capacity <= 0 or free_rate <= 0:
             # Every server is limited, and together they take less than the load.
-            return {server: rates[server] for server in capacities}
+            return {server: rates[server] for server in capacities}, 0.0
         rate_per_capacity = free_rate / free_capacity
         exceeding = {
             server
@@ -309,10 +340,11 @@
             if capacities[server] * rate_per_capacity > rates[server]
         }
         if not exceeding:
-            return {
+            usable = {
                 server: rates[server] / rate_per_capacity if server in limited else capacity
                 for server, capacity in capacities.items()
             }
+            return usable, rate_per_capacity
         limited |= exceeding
 
 
