Move all that a server owns beyond its limit at once

Cause: keys left a limited server only as in ordinary balancing: one piece of a range for each plan, every 0.5 s, no larger than what the least utilized server lacks of its fair share, and none at all below 0.7 requests a second. With many other servers each lacks a little, together enough for all of it, and nothing moves. Shown without a clock by test_keys_leave_when_each_other_server_can_take_ only_a_few_more, which failed for one, two and five limited servers of 14.

--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -79,6 +79,8 @@
         self._save = save
         self._started_at = clock.now()
         self._balanced_at = -BALANCE_PERIOD_MS
+        # The servers with a limit at the latest plan.
+        self._limited_servers: frozenset[ServerIncarnation] = frozenset()
         self._update_lock = asyncio.Lock()
         self._queued_changes: list[_QueuedChange] = []
         self._move_tasks: dict[int, asyncio.Task] = {}
@@ -186,9 +188,12 @@
         must_move = any(
             (item.successor or item.owner) not in capacities for item in self._map.ranges
         )
-        if not must_move and now - self._balanced_at < BALANCE_PERIOD_MS:
+        limited_servers = frozenset(self._limits.rates)
+        is_newly_limited = not limited_servers <= self._limited_servers
+        is_balancing_due = now - self._balanced_at >= BALANCE_PERIOD_MS
+        if not (must_move or is_newly_limited or is_balancing_due):
             return False
-        self._balanced_at = now
+        self._balanced_at, self._limited_servers = now, limited_servers
         return True
 
     async def _start_moves(self) -> None:
--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -41,9 +41,11 @@
 # Limits that have ended are planned for as if they were in force while the servers without a limit
 # use at most this share of their capacity.
 COMFORTABLE_RATIO = 0.6
-# The keys of a server that must no longer own any go to several others; each piece of a range but
-# the last has at least this share of the load of the range.
+# Load that must leave a server at once goes to several others; each piece but the last has at
+# least this share of it.
 PIECE_SHARE_MIN = 0.34
+# Ranges that leave a limited server at the same time. Each takes a connection for its release.
+RELIEF_MOVES_PER_SERVER = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,11 +94,11 @@
 
 @register("range_planner", "balanced")
 class BalancedPlanner(RangePlanner):
-    """Also moves keys away from servers with more than their fair share of the load."""
+    """Also moves keys away from servers with more than their limit or fair share of the load."""
 
     def plan(self, planner_input: PlannerInput) -> tuple[PlannedMove, ...]:
         draft = _Draft(planner_input)
-        return (*draft.place_forced(), *draft.balance())
+        return (*draft.place_forced(), *draft.relieve_limited(), *draft.balance())
 
 
 class _Draft:
@@ -134,6 +136,20 @@
                 moves += self._place_range(item)
         return moves
 
+    def relieve_limited(self) -> list[PlannedMove]:
+        """Plan moves of what limited servers own beyond their limits to servers that have room.
+
+        Requests beyond the limit are rejected until their keys have moved, so that most of them
+        move at once, however little of it each of the other servers takes.
+        """
+        limited = self._loads.keys() & self._planner_input.limits.keys()
+        moves: list[PlannedMove] = []
+        for source in sorted(limited, key=self._utilization, reverse=True):
+            if self._utilization(source) < OVERLOAD_RATIO:
+                break
+            moves += self._move_excess(source)
+        return moves
+
     def balance(self) -> list[PlannedMove]:
         """Plan moves of keys from the most to the least utilized servers."""
         moves: list[PlannedMove] = []
@@ -207,6 +223,28 @@
             first = last + 1
         return moves
 
+    def _move_excess(self, source: ServerIncarnation) -> list[PlannedMove]:
+        """Plan moves of the load of *source* beyond its share, in a few pieces."""
+        moves: list[PlannedMove] = []
+        excess = self._loads[source] - self._share(source)
+        ownership = self._planner_input.ownership
+        move_limit = RELIEF_MOVES_PER_SERVER - sum(
+            item.is_moving for item in ownership.owned_by(source)
+        )
+        for item in self._movable_ranges(source):
+            first = item.first
+            while first <= item.last and self._loads[source] > self._share(source):
+                target = min(self._loads, key=self._utilization)
+                if target == source or len(moves) >= move_limit:
+                    return moves
+                left = self._loads[source] - self._share(source)
+                spare = self._share(target) - self._loads[target]
+                rate = min(left, max(spare, excess * PIECE_SHARE_MIN))
+                last = self._rates.split_key(first, item.last, rate)
+                moves.append(self._record_move(source, PlannedMove(first, last, target)))
+                first = last + 1
+        return moves
+
     def _move_hot_key(self, source: ServerIncarnation) -> PlannedMove | None:
         """Plan a move of a key above the fair share of *source* to a larger server without one."""
         if source not in self._hot_key_owners:
--- a/tests/test_limited_keys.py
+++ b/tests/test_limited_keys.py
@@ -5,6 +5,8 @@
 import itertools
 import random
 
+import pytest
+
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.ranges.load import KeyRates
@@ -97,6 +99,29 @@
                 beyond = {
                     server.server: load
                     for server, load in replay.loads.items()
-                    if server not in limits and load > CAPACITY_PER_S
+                    if load > limits.get(server, CAPACITY_PER_S)
                 }
                 assert beyond == {}
+
+    @pytest.mark.parametrize("limited_count", [1, 2, 5])
+    def test_keys_leave_when_each_other_server_can_take_only_a_few_more(self, limited_count: int):
+        """Guards against keys that stay because no other server lacks much of its fair share."""
+        replay = LimitReplay(90.0)
+        limits = dict.fromkeys(SERVERS[:limited_count], 3.0)
+        replay.name_limits(limits)
+        replay.run(RELIEF_TIME_MS)
+        assert all(replay.loads[server] <= limit for server, limit in limits.items())
+
+    def test_keys_do_not_return_at_the_end_of_a_limit_while_no_server_is_overloaded(self):
+        """Guards against moves for nothing, as the same servers are often limited again."""
+        replay = LimitReplay(360.0)
+        limits = {SERVERS[0]: 8.0, SERVERS[1]: 18.0}
+        replay.name_limits(limits)
+        replay.run(3_000)
+        moved_before = replay.moved_rate
+        for _ in range(5):
+            replay.name_limits({})
+            replay.run(3_000)
+            replay.name_limits(limits)
+            replay.run(3_000)
+        assert replay.moved_rate == moved_before
