Use limits up while the other servers are beyond their capacity

Plans now count on whole limits once the other servers' fair share exceeds their capacity.

test_limits_are_used_up_while_the_other_servers_are_beyond_their_capacity had 90 of 112 requests a second before.

--- a/src/fuchsiatrack/ranges/planner.py
+++ b/src/fuchsiatrack/ranges/planner.py
@@ -36,8 +36,10 @@
 HOT_KEY_SHARE = 0.5
 # A hot key moves only to a server with at least this many times the capacity of its owner.
 HOT_KEY_CAPACITY_RATIO_MIN = 1.25
-# Share of the rate to which a server limits its requests that is planned for it.
+# Share of the rate to which a server limits its requests that is planned for it, and the same if
+# the servers without a limit would be beyond their capacity otherwise.
 LIMIT_USED_RATIO = 0.8
+LIMIT_USED_RATIO_MAX = 1.0
 # Limits that have ended are planned for as if they were in force while the servers without a limit
 # use at most this share of their capacity.
 COMFORTABLE_RATIO = 0.6
@@ -346,7 +348,12 @@
             return capacities
         latest = itertools.islice(recent_limits.items(), len(recent_limits) // 2)
         recent_limits = dict(latest)
-    capacities, _ = _limited_capacities(planner_input, limits)
+    capacities, rate_per_capacity = _limited_capacities(planner_input, limits)
+    if rate_per_capacity * utilization_per_rate > 1:
+        limits = {
+            server: rate * LIMIT_USED_RATIO_MAX for server, rate in planner_input.limits.items()
+        }
+        capacities, _ = _limited_capacities(planner_input, limits)
     return capacities
 
 
--- a/tests/test_limited_keys.py
+++ b/tests/test_limited_keys.py
@@ -125,3 +125,12 @@
             replay.name_limits(limits)
             replay.run(3_000)
         assert replay.moved_rate == moved_before
+
+    def test_limits_are_used_up_while_the_other_servers_are_beyond_their_capacity(self):
+        """Guards against unused limits while requests are rejected elsewhere."""
+        replay = LimitReplay(500.0)
+        limits = dict.fromkeys(SERVERS[:8], 14.0)
+        replay.name_limits(limits)
+        replay.run(10_000)
+        used = sum(replay.loads[server] for server in limits)
+        assert used >= 0.95 * sum(limits.values())
