Answer the requests that are left at the end of fuchsiatrackd's grace

A daemon of the YAML interface that stopped while requests were at their servers went on for up to 60 s beyond `shutdown_grace`, while aiohttp waited for the handlers, and cut off without an answer whatever was left then; a supervisor that allows the grace only kills it, with all connections.

At the end of the grace each request is ended: as not run if it has not been sent, else as one that may have run. A response that is being streamed is aborted, so that it can't look complete.

test_requests_left_at_the_end_of_the_grace_are_answered failed before: the answer came at the request's own deadline, 14 s later.

--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -239,9 +239,10 @@
             await site.stop()
         if not await self.caller_server.wait_drained(timings.shutdown_grace):
             log.warning(
-                "requests aborted after the grace period",
+                "requests ended after the grace period",
                 extra={"count": self.caller_server.in_flight},
             )
+            await self.caller_server.end_requests()
         for runtime in self.runtimes.values():
             await runtime.orders.deduplicator.drain(ORDER_DRAIN_TIMEOUT_MS)
 
--- a/src/fuchsiatrack/routing/callerserver.py
+++ b/src/fuchsiatrack/routing/callerserver.py
@@ -20,6 +20,8 @@
 from fuchsiatrack.routing.responses import TruncatedResponse
 
 READY_PATH = "/-/ready"
+# Longest wait until requests that are ended have been answered.
+END_TIMEOUT_MS = 200
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +53,8 @@
         self._draining = False
         self._idle = asyncio.Event()
         self._idle.set()
+        # Each ends one exchange.
+        self._timeouts: set[asyncio.Timeout] = set()
         self.in_flight = 0
 
     def build_runner(self) -> web.ServerRunner:
@@ -85,6 +89,12 @@
             return False
         return True
 
+    async def end_requests(self) -> None:
+        """Answer the requests in flight at once: as not run if they have not been sent."""
+        for timeout in self._timeouts:
+            timeout.reschedule(asyncio.get_running_loop().time())
+        await self.wait_drained(END_TIMEOUT_MS)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == READY_PATH:
             return self._readiness_response()
@@ -116,7 +126,8 @@
             length = request.content_length or 0
             admitted = self._admission.admit(request.method, service, request.headers, length)
             dependencies = self._dependencies_for(service)
-            response = await Exchange(request, "/" + path, admitted, request_id, dependencies).run()
+            exchange = Exchange(request, "/" + path, admitted, request_id, dependencies)
+            response = await self._run(exchange)
         except RequestError as request_error:
             self._log_request_error(request_id, service, admitted, request_error)
             self._record_result(admitted, started, request_error)
@@ -133,6 +144,19 @@
         self._record_result(admitted, started, None)
         return response
 
+    async def _run(self, exchange: Exchange) -> web.StreamResponse:
+        """Run *exchange* until `end_requests` at most."""
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._timeouts.add(timeout)
+                return await exchange.run()
+        except TimeoutError:
+            raise RequestError(
+                ErrorReason.NOT_READY, exchange.verdict, retry_after_ms=1_000
+            ) from None
+        finally:
+            self._timeouts.discard(timeout)
+
     def _record_result(
         self, admitted: AdmittedRequest | None, started: int, request_error: RequestError | None
     ) -> None:
--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -166,11 +166,17 @@
                 self._dependencies.deduplicator.release(self._attempt)
             raise
         except asyncio.CancelledError:
-            # The caller has disconnected.  An order that was never sent has not run.
+            # The caller has disconnected, or the daemon stops.  An order that was never sent has
+            # not run.
             if self._attempt and not self._sends:
                 self._dependencies.deduplicator.release(self._attempt)
             raise
 
+    @property
+    def verdict(self) -> Verdict:
+        """What is known of the request if it ends now without a response."""
+        return Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+
     @property
     def _time_left(self) -> int:
         return self._admitted.deadline - self._clock.now()
--- a/src/fuchsiatrack/routing/responses.py
+++ b/src/fuchsiatrack/routing/responses.py
@@ -63,8 +63,11 @@
             request.transport.abort()
         raise TruncatedResponse(relay_started) from error
     except asyncio.CancelledError:
-        # The caller has disconnected; closing the connection cancels the request at the server.
+        # The caller has disconnected, or the daemon stops; closing the connection cancels the
+        # request at the server.
         response.close()
+        if relay_started and request.transport is not None:
+            request.transport.abort()
         raise
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -20,6 +20,7 @@
 # Second octet of the loopback addresses of this module.
 OCTET = 15
 IDLE_TIMEOUT_MS = 700
+STOP_GRACE_MS = 5_000
 
 
 def _objects() -> ObjectSet:
@@ -41,7 +42,7 @@
 async def running():
     settings = {
         "requests": {"body_idle_timeout": IDLE_TIMEOUT_MS},
-        "timings": {"leave_notice": 300},
+        "timings": {"leave_notice": 300, "shutdown_grace": STOP_GRACE_MS},
     }
     async with Deployment(_objects(), 2, Network(OCTET), settings=settings) as deployment:
         await deployment.publish()
@@ -88,8 +89,8 @@
     return sum(1 for e in events if e["event"] == "begin" and e["order"] == name)
 
 
-async def set_faults_of_all_servers(deployment, **faults):
-    for server in deployment.objects.servers("poles"):
+async def set_faults_of_all_servers(deployment, service="poles", **faults):
+    for server in deployment.objects.servers(service):
         await deployment.set_server_faults(server.name, **faults)
 
 
@@ -253,3 +254,20 @@
         assert ready.status == 503
         assert response.verdict == "ran"
         assert await stop == 0
+
+    async def test_requests_left_at_the_end_of_the_grace_are_answered(self, running):
+        """Guards against connections that close without an answer at the end of a stop."""
+        await running.add_daemon(4)
+        await running.wait_ready(4)
+        await set_faults_of_all_servers(running, "footage", silent=True)
+        deadline = {"Fuchsiatrack-Deadline-Ms": str(4 * STOP_GRACE_MS)}
+        call = asyncio.create_task(
+            send(running, path="/footage/x", daemon=4, **order("o-5", **deadline))
+        )
+        while not count_begun(running, "o-5"):
+            await asyncio.sleep(0.05)
+        exit_code = await running.stop(running.daemon_name(4))
+        await set_faults_of_all_servers(running, "footage", silent=False)
+        response = await call
+        assert (response.reason, response.verdict) == ("not-ready", "may-have-run")
+        assert exit_code == 0
