Give each endpoint of a test's daemon a port that nobody else takes

Suspected was free_port, which asks the kernel for an unused port and gives it back.

test_fleet shows two ways for it to fail: in 100 calls it returned one port twice (a daemon whose readiness and callers share a port can't listen), and all of its ports are among those that outgoing connections get, also of other processes. Ports now come from below that range, each of them once in 12,000 calls.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
+import random
 import secrets
 import socket
 from collections.abc import AsyncIterator
@@ -22,11 +24,19 @@
 READY_TIMEOUT_S = 15.0
 
 
+# Below the ports that the kernel gives to outgoing connections, so that none takes a free port
+# before it is bound.
+_PORTS = range(20_000, 32_000)
+_next_ports = itertools.cycle(random.sample(_PORTS, len(_PORTS)))
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return an unused port of the loopback address."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return an unused port of the loopback address, another one at each call."""
+    for port in itertools.islice(_next_ports, len(_PORTS)):
+        with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise OSError(f"no unused port in {_PORTS}")
 
 
 def gateway_settings(log_service: LogServiceStandIn, vm: str, **changes: object) -> GatewaySettings:
