Let up to three servers name limits at once in the soak test

The faults that a seed injects otherwise stay the same, since limits have a random number generator of their own.

--- a/src/fuchsiatrack_standins/soak/faults.py
+++ b/src/fuchsiatrack_standins/soak/faults.py
@@ -23,6 +23,7 @@
 DRAIN_S = 2.5
 # A limit lasts for this long and a random time, and changes once.
 LIMIT_S = 8.0
+LIMITED_AT_ONCE_MAX = 3
 # Limits in requests per second, from below one for each daemon to little less than the load.
 LIMIT_RATES = (0.5, 2.5, 8.8, 19.8)
 MALFORMED_LIMITS = ("", "-1", "nan", "1e9", "8,5")
@@ -163,7 +164,7 @@
         await asyncio.gather(*changes)
 
     async def _limit_servers(self, duration: float) -> None:
-        """Let servers name limits, one after the other, for about *duration* seconds.
+        """Let other servers name limits in turn, one to three at once, for *duration* seconds.
 
         Limits have a random number generator of their own, so that a seed injects the same faults
         as without them.
@@ -172,7 +173,9 @@
         end_s = time.monotonic() + duration
         while time.monotonic() < end_s:
             await asyncio.sleep(rng.uniform(0.2, 1.0))
-            await self._limit_server(rng.choice(tuple(self._environment.servers.values())), rng)
+            servers = tuple(self._environment.servers.values())
+            limited = rng.sample(servers, min(len(servers), rng.randint(1, LIMITED_AT_ONCE_MAX)))
+            await asyncio.gather(*(self._limit_server(server, rng) for server in limited))
 
     async def _limit_server(self, server: ServerStandIn, rng: random.Random) -> None:
         """Let *server* name a limit, another one, a malformed value, and none again."""
