Answer a request that may have run at the end of a stop with 502, not 503

PROTOCOL.md says of a 503 to an order that it has not run: callers that go by the status repeat an order that may have run. Found by reading the change, before it landed.

The reason is `connection` now, with 502. The test asks for it; it got 503.

--- a/src/fuchsiatrack/routing/callerserver.py
+++ b/src/fuchsiatrack/routing/callerserver.py
@@ -151,9 +151,9 @@
                 self._timeouts.add(timeout)
                 return await exchange.run()
         except TimeoutError:
-            raise RequestError(
-                ErrorReason.NOT_READY, exchange.verdict, retry_after_ms=1_000
-            ) from None
+            if exchange.verdict is Verdict.NOT_RUN:
+                raise RequestError(ErrorReason.NOT_READY, retry_after_ms=1_000) from None
+            raise RequestError(ErrorReason.CONNECTION, exchange.verdict) from None
         finally:
             self._timeouts.discard(timeout)
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -269,5 +269,7 @@
         exit_code = await running.stop(running.daemon_name(4))
         await set_faults_of_all_servers(running, "footage", silent=False)
         response = await call
-        assert (response.reason, response.verdict) == ("not-ready", "may-have-run")
+        # A status of 503 would state that the order has not run.
+        assert (response.status, response.reason) == (502, "connection")
+        assert response.verdict == "may-have-run"
         assert exit_code == 0
