--- a/tests/test_limited_keys.py
+++ b/tests/test_limited_keys.py
@@ -80,7 +80,7 @@
     return ownership
 
 
-class TestKeysOfLimitedServers:
+class TestPlansForLimitedServers:
     """No request is rejected where other servers have room."""
 
     def test_servers_that_are_limited_in_turn_leave_no_server_with_more_than_it_takes(self):
