Read limits with more than nine digits after the point

What callers saw: nothing yet.

Cause: the decoder took at most nine digits on each side of the point. The one on the left bounds the value; the one on the right bounded nothing that matters.

Now it passes; 400 digits stay malformed.

--- a/src/fuchsiatrack/platform/headers.py
+++ b/src/fuchsiatrack/platform/headers.py
@@ -34,7 +34,7 @@
 WRONG_SERVER_STATUS = 421
 LAST_KEY = 65_535
 
-_DECIMAL = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,40})?")
 
 
 class PlatformHeaderCodec(HeaderCodec):
