Remember the limits of servers whose entries expire and return

What callers saw: nothing yet. While the log service is disturbed, the entry of a running server may expire and be listed again seconds later. All daemons had forgotten its limit within a second, so that each of them sent freely until its first response: LIMIT, in a window that holds the server's whole share as well.

Cause: limits were dropped with the entry, since daemons would otherwise remind each other of servers that have left.

Now a daemon keeps what it knows for 15 s after the entry is gone, but neither reports it nor learns of it from others, so that it is forgotten for good.

Before: the new test failed (no limit after 5 s without an entry).

--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -4,13 +4,16 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 
 # A limit that has ended is remembered for this long: other daemons are told of the end, so that
 # none restores it, and plans don't return keys needlessly, since it may soon be set again.
 END_MEMORY_MS = 15_000
+# A server that is no longer listed is remembered for this long: its entry may be missing for seconds
+# while it runs on, and daemons that had forgotten its limit would exceed it at its return.
+UNLISTED_MEMORY_MS = 15_000
 # Lower limits count as this one, so that their end is noticed.
 RATE_MIN_PER_S = 0.1
 
@@ -45,20 +48,21 @@
 class LimitRegistry:
     """The latest statement of each server that sets a limit or has recently ended one.
 
-    *is_listed* tells whether a server is still in the directory; others are not recorded, since
-    daemons would remind each other of them for ever.
+    *is_listed* tells whether a server is still in the directory.  Others are neither recorded nor
+    reported, since daemons would remind each other of them for ever.
     """
 
     def __init__(self, is_listed: Callable[[ServerIncarnation], bool]) -> None:
         self._is_listed = is_listed
         self._observations: dict[ServerIncarnation, _Observation] = {}
+        self._unlisted_since: dict[ServerIncarnation, int] = {}
 
     @property
     def rates(self) -> dict[ServerIncarnation, float]:
-        """The limits in force, in requests per second, by server."""
+        """The limits in force, in requests per second, by listed server."""
         return {
             server: max(item.rate, RATE_MIN_PER_S)
-            for server, item in self._observations.items()
+            for server, item in self._listed()
             if item.rate is not None
         }
 
@@ -67,7 +71,7 @@
         """The last limits of servers that ended them within `END_MEMORY_MS`, latest end first."""
         ended = [
             (server, item)
-            for server, item in self._observations.items()
+            for server, item in self._listed()
             if item.rate is None and item.last_rate is not None
         ]
         ended.sort(key=lambda row: row[1].observed_at, reverse=True)
@@ -84,7 +88,7 @@
         """Return what to tell other daemons."""
         return tuple(
             LimitNotice(server, item.rate, now - item.observed_at)
-            for server, item in self._observations.items()
+            for server, item in self._listed()
         )
 
     def record_response(
@@ -111,14 +115,24 @@
                 self._put(notice.server, notice.rate, observed_at)
 
     def drop_outdated(self, now: int) -> None:
-        """Drop servers that are no longer listed, and limits that ended some time ago."""
+        """Drop servers that have not been listed for some time, and limits that ended before."""
+        self._unlisted_since = {
+            server: self._unlisted_since.get(server, now)
+            for server in self._observations
+            if not self._is_listed(server)
+        }
         self._observations = {
             server: item
             for server, item in self._observations.items()
-            if self._is_listed(server)
+            if now - self._unlisted_since.get(server, now) < UNLISTED_MEMORY_MS
             and (item.rate is not None or now - item.observed_at < END_MEMORY_MS)
         }
 
+    def _listed(self) -> Iterator[tuple[ServerIncarnation, _Observation]]:
+        for server, item in self._observations.items():
+            if self._is_listed(server):
+                yield server, item
+
     def _put(self, server: ServerIncarnation, rate: float | None, observed_at: int) -> None:
         if not self._is_listed(server):
             return
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -7,7 +7,12 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.gateway.headers import ReportedLimit
-from fuchsiatrack.limits.registry import END_MEMORY_MS, LimitNotice, LimitRegistry
+from fuchsiatrack.limits.registry import (
+    END_MEMORY_MS,
+    UNLISTED_MEMORY_MS,
+    LimitNotice,
+    LimitRegistry,
+)
 from fuchsiatrack.platform.headers import PlatformHeaderCodec
 
 SERVER = ServerIncarnation("s1", 1)
@@ -80,6 +85,20 @@
         registry.drop_outdated(300 + END_MEMORY_MS)
         assert registry.recent_limits == {}
 
+    def test_server_whose_entry_expires_and_returns_is_still_limited(self):
+        """An entry may be missing for seconds while its server runs on."""
+        listed = {SERVER}
+        registry = LimitRegistry(listed.__contains__)
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        listed.clear()
+        for now in range(1_000, 6_000, 1_000):
+            registry.drop_outdated(now)
+        assert registry.rates == {} and registry.notices(6_000) == ()
+        listed.add(SERVER)
+        registry.drop_outdated(6_000)
+        assert registry.find(SERVER) == 5.0
+        assert registry.rates == {SERVER: 5.0}
+
     def test_server_that_is_not_listed_is_forgotten_for_good(self):
         """Two daemons that drop it at different times would remind each other of it."""
         listed = {SERVER}
@@ -89,3 +108,7 @@
         registry.drop_outdated(200)
         registry.merge([LimitNotice(SERVER, 5.0, 50)], 210)
         assert not registry.notices(210)
+        registry.drop_outdated(200 + UNLISTED_MEMORY_MS)
+        registry.merge([LimitNotice(SERVER, 5.0, 50)], 210 + UNLISTED_MEMORY_MS)
+        listed.add(SERVER)
+        assert registry.find(SERVER) is None
