Let a permit expire while its request waits for a slow server

What callers saw: nothing yet. After a server with a limit of 20 requests a second had stood still for 4 s, it got 145 requests in 4 s from three daemons (125 allowed): LIMIT.

Cause: a request takes its permit first and then waits in the admission queue, for as long as its caller can. Turns were spaced when they were given out, not when they were used, so that all that had waited arrived together. A permit put back after such a wait even got a new life of half a second, and one whose request was cancelled could be used before its time.

A permit is now a turn with a start and an end. After the wait in the queue an expired one is replaced, which also covers a limit that was named meanwhile.

Before: test_requests_that_waited_for_a_stalled_server_do_not_reach_it_all_at_once 145 of 125 allowed. After: passes with the other tests of limits (48 passed).

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import random
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import Callable, Iterator
 
 from aiohttp import web
 
@@ -36,7 +36,7 @@
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
 from fuchsiatrack.kernel.verdict import Verdict
-from fuchsiatrack.limits.permits import LimitReached, PermitPool
+from fuchsiatrack.limits.permits import LimitReached, PermitPool, Turn
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.model.routes import Route, RoutedService, RouteTable
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
@@ -312,35 +312,35 @@
         stats = self._dependencies.stats.get(entry.id, entry.slots)
         queue = self._queue(entry)
         connection_share = self._connection_share()
-        async with self._permit(entry, route, stats):
+        sends_before = self.outcome.sends
+        turn = await self._acquire_turn(entry, route, stats)
+        try:
             await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
             try:
+                if not self._dependencies.permits.is_valid(turn, entry.incarnation):
+                    # Requests that have waited must not reach the server all at once.
+                    turn = await self._acquire_turn(entry, route, stats)
                 self._check_current(entry, selection_request)
                 return await self._send_admitted(
                     entry, route, request_metadata, selection_request, connection_share
                 )
             finally:
                 queue.release(stats.service_time)
+        finally:
+            if turn is not None and self.outcome.sends == sends_before:
+                self._dependencies.permits.put_back(turn)
 
-    @contextlib.asynccontextmanager
-    async def _permit(
+    async def _acquire_turn(
         self, entry: ServerEntry, route: Route, stats: ServerStats
-    ) -> AsyncIterator[None]:
-        """Hold a permit within the server's limit, put back if nothing is sent."""
-        permits, sends_before = self._dependencies.permits, self.outcome.sends
+    ) -> Turn | None:
+        """Wait for a turn within the limit of the server of *entry*, if it sets one."""
+        max_delay = self._max_permit_delay(route, stats)
         try:
-            is_counted = await permits.acquire(
-                entry.incarnation, self._max_permit_delay(route, stats)
-            )
+            return await self._dependencies.permits.acquire(entry.incarnation, max_delay)
         except LimitReached as error:
             raise RequestError(
                 ErrorReason.SERVER_LIMIT, retry_after_ms=error.retry_after
             ) from error
-        try:
-            yield
-        finally:
-            if is_counted and self.outcome.sends == sends_before:
-                permits.put_back(entry.incarnation)
 
     def _max_permit_delay(self, route: Route, stats: ServerStats) -> int:
         """Return how long the request may wait for room within the limit of its server, in ms."""
--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-import collections
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -30,6 +30,18 @@
         self.retry_after = retry_after
 
 
+@dataclasses.dataclass(frozen=True)
+class Turn:
+    """This daemon's permission to send one request to `server` from `starts_at` on.
+
+    It ends before `expires_at`; both are times of this daemon's clock, in milliseconds.
+    """
+
+    server: ServerIncarnation
+    starts_at: int
+    expires_at: int
+
+
 class PermitChannel(abc.ABC):
     """Way to the leader, which issues the permits of all daemons."""
 
@@ -42,10 +54,10 @@
 
 
 class PermitPool:
-    """Acquires permits for this daemon's requests, one for each send.
+    """Acquires turns for this daemon's requests, one for each send.
 
-    The leader issues them by demand.  While there is none, each of the *daemon_count* daemons uses
-    a share of its own.  Permits that were not used are kept for the next requests.
+    The leader issues permits for them by demand.  While there is none, each of the *daemon_count*
+    daemons uses a share of its own.  Turns that were not used are kept for the next requests.
     """
 
     def __init__(
@@ -64,7 +76,7 @@
         self._rng = rng
         self._metrics = metrics
         self._own_shares: dict[ServerIncarnation, RateLimiter] = {}
-        self._unused: dict[ServerIncarnation, collections.deque[int]] = {}
+        self._unused: dict[ServerIncarnation, list[Turn]] = {}
         self._full_until: dict[ServerIncarnation, int] = {}
 
     def expected_delay(self, server: ServerIncarnation) -> int:
@@ -73,17 +85,18 @@
             return 0
         return max(0, self._full_until.get(server, 0) - self._clock.now())
 
-    async def acquire(self, server: ServerIncarnation, max_delay: int) -> bool:
+    async def acquire(self, server: ServerIncarnation, max_delay: int) -> Turn | None:
         """Wait until one request may be sent to *server*, at most *max_delay* milliseconds.
 
-        Return whether that takes a permit, as *server* sets a limit.  Raises LimitReached at once
-        if there is no room in time.
+        Return its turn, None if *server* sets no limit.  Raises LimitReached at once if there is no
+        room in time.
         """
         rate = self._registry.find(server)
         if rate is None:
-            return False
-        if self._take_unused(server):
-            return True
+            return None
+        unused = self._take_unused(server)
+        if unused is not None:
+            return unused
         known_delay = self.expected_delay(server)
         if known_delay > max_delay:
             raise self._limit_reached(server, rate, known_delay)
@@ -91,18 +104,25 @@
         if not permit.granted:
             raise self._limit_reached(server, rate, permit.delay)
         self._metrics.count("permits.granted")
+        starts_at = self._clock.now() + permit.delay
+        turn = Turn(server, starts_at, starts_at + TURN_LIFETIME_MS)
         try:
             await self._clock.sleep(permit.delay)
         except BaseException:
-            self.put_back(server)
+            self.put_back(turn)
             raise
-        return True
+        return turn
+
+    def is_valid(self, turn: Turn | None, server: ServerIncarnation) -> bool:
+        """Return whether a request with *turn* may be sent to *server* now."""
+        if turn is None:
+            return self._registry.find(server) is None
+        return self._clock.now() < turn.expires_at
 
-    def put_back(self, server: ServerIncarnation) -> None:
-        """Keep a permit whose request was not sent."""
-        if self._registry.find(server) is not None:
-            expires_at = self._clock.now() + TURN_LIFETIME_MS
-            self._unused.setdefault(server, collections.deque()).append(expires_at)
+    def put_back(self, turn: Turn) -> None:
+        """Keep a turn whose request was not sent, until it expires."""
+        if self._registry.find(turn.server) is not None:
+            self._unused.setdefault(turn.server, []).append(turn)
 
     def drop_outdated(self) -> None:
         """Drop what is known of servers that set no limit any more."""
@@ -111,12 +131,12 @@
             for server in by_server.keys() - kept:
                 del by_server[server]
 
-    def _take_unused(self, server: ServerIncarnation) -> bool:
-        unused = self._unused.get(server)
-        while unused:
-            if unused.popleft() > self._clock.now():
-                return True
-        return False
+    def _take_unused(self, server: ServerIncarnation) -> Turn | None:
+        now = self._clock.now()
+        unused = [turn for turn in self._unused.get(server, ()) if now < turn.expires_at]
+        turn = next((turn for turn in unused if turn.starts_at <= now), None)
+        self._unused[server] = [other for other in unused if other is not turn]
+        return turn
 
     async def _request_permit(self, server: ServerIncarnation, max_delay: int) -> Permit:
         permit = await self._channel.request(server, max_delay)
--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -11,8 +11,8 @@
 # A limit that has ended is remembered for this long: other daemons are told of the end, so that
 # none restores it, and plans don't return keys needlessly, since it may soon be set again.
 END_MEMORY_MS = 15_000
-# A server that is no longer listed is remembered for this long: its entry may be missing for seconds
-# while it runs on, and daemons that had forgotten its limit would exceed it at its return.
+# A server that is no longer listed is remembered for this long: its entry may be missing for a few
+# seconds while it runs on, and daemons that had forgotten its limit would exceed it at its return.
 UNLISTED_MEMORY_MS = 15_000
 # Lower limits count as this one, so that their end is noticed.
 RATE_MIN_PER_S = 0.1
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -346,10 +346,33 @@
             fleet = PermitFleet(1, 0.2, seed=1)
             daemon = fleet.daemons[0]
             daemon.registry.record_response(SERVER, 0.2, 0, 0)
-            assert await daemon.pool.acquire(SERVER, 0)
+            turn = await daemon.pool.acquire(SERVER, 0)
             with pytest.raises(LimitReached):
                 await daemon.pool.acquire(SERVER, 0)
-            daemon.pool.put_back(SERVER)
+            daemon.pool.put_back(turn)
+            assert await daemon.pool.acquire(SERVER, 0) == turn
+
+        run_virtual(scenario())
+
+    def test_unused_permit_serves_no_request_before_its_time_or_long_after(self):
+        async def scenario():
+            fleet = PermitFleet(1, 1.0, seed=1)
+            daemon = fleet.daemons[0]
+            daemon.registry.record_response(SERVER, 1.0, 0, 0)
             assert await daemon.pool.acquire(SERVER, 0)
+            waiting = asyncio.create_task(daemon.pool.acquire(SERVER, 1_000))
+            await asyncio.sleep(0.1)
+            waiting.cancel()
+            await asyncio.sleep(0.1)
+            with pytest.raises(LimitReached):
+                await daemon.pool.acquire(SERVER, 0)
+            await asyncio.sleep(0.85)
+            turn = await daemon.pool.acquire(SERVER, 0)
+            assert daemon.pool.is_valid(turn, SERVER)
+            await asyncio.sleep(TURN_LIFETIME_MS / 1_000)
+            assert not daemon.pool.is_valid(turn, SERVER)
+            daemon.pool.put_back(turn)
+            with pytest.raises(LimitReached):
+                await daemon.pool.acquire(SERVER, 0)
 
         run_virtual(scenario())
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -7,6 +7,7 @@
 import itertools
 
 import pytest
+from aiohttp import web
 
 from tests.fleet import Fleet, route, run_fleet
 
@@ -40,9 +41,12 @@
 class Load:
     """Callers that send requests through all daemons at a fixed pace; `statuses` are in order."""
 
-    def __init__(self, fleet: Fleet, path: str, keys: tuple[int | None, ...]) -> None:
+    def __init__(
+        self, fleet: Fleet, path: str, keys: tuple[int | None, ...], deadline: int = 1_000
+    ) -> None:
         self._fleet = fleet
         self._path = path
+        self._deadline = deadline
         self._keys = itertools.cycle(keys)
         self._vms = itertools.cycle(fleet.settings)
         self.statuses: list[int] = []
@@ -55,7 +59,7 @@
                 await asyncio.sleep(1 / rate)
 
     async def _call(self, vm: str, key: int | None) -> None:
-        status, _, _ = await self._fleet.call(self._path, vm, key=key, deadline=1_000)
+        status, _, _ = await self._fleet.call(self._path, vm, key=key, deadline=self._deadline)
         self.statuses.append(status)
 
 
@@ -100,6 +104,33 @@
         assert most_requests(arrivals, since_s) <= allowed_requests(2.0)
         assert set(load.statuses) == {200}
 
+    async def test_requests_that_waited_for_a_stalled_server_do_not_reach_it_all_at_once(
+        self, fleet: Fleet
+    ):
+        """A permit is not kept for as long as its request waits for the server."""
+        server, limit, stall_s = fleet.servers["stock-0"], 20.0, 4.0
+        patient = {"Timeout": "8000ms", "TargetLatency": "7000ms"}
+        fleet.publish(2, [route("stock", "/stock/", "safe", "stock", **patient)], ("stock",))
+        resumed = asyncio.Event()
+        resumed.set()
+
+        async def respond_once_resumed(request, headers):
+            await resumed.wait()
+            return web.Response(headers=headers, text=headers["X-Request-Id"])
+
+        server.response_handler = respond_once_resumed
+        server.name_limit(str(limit))
+        load = Load(fleet, "/stock/", tuple(range(0, 65_536, 1_024)), deadline=8_000)
+        loading = asyncio.create_task(load.run(40, CONTACT_S + stall_s + WINDOW_S))
+        await asyncio.sleep(CONTACT_S)
+        resumed.clear()
+        await asyncio.sleep(stall_s)
+        resumed.set()
+        await loading
+        arrivals = [item.at_s for item in server.arrivals]
+        since_s = server.limits[0].since_s + CONTACT_S
+        assert most_requests(arrivals, since_s) <= allowed_requests(limit)
+
 
 class TestKeysOfLimitedServers:
     """Keys move to servers that have room, so that their requests aren't rejected."""
