Assume the largest number of daemons for limits until a leader has counted them

What callers saw: nothing yet. On virtual time 195 daemons that had started without a leader sent 241 requests in 4 s to a server with a limit of 8 a second (53 allowed): LIMIT.

Cause: until a leader had counted the daemons, each assumed that it was one of twelve, which holds for small deployments only.

For limits the number is now 480, the most that are supported, until a leader has told another one.

Before: test_daemons_that_nobody_has_counted_keep_the_limit failed (241 of 53). After: it passes.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -92,7 +92,7 @@
         self._permits = PermitPool(
             self._limits,
             self._range_service.permit_channel,
-            lambda: self._range_service.daemon_count,
+            lambda: self._range_service.counted_daemons,
             self._clock,
             self._rng,
             self._metrics,
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -122,7 +122,7 @@
         self._revisions_behind: dict[str, int] = {}
         self._last_notified_term = 0
         self._last_report_address = ""
-        self._daemon_count = settings.expected_daemons
+        self._counted_daemons: int | None = None
         own_term = Term(0, settings.vm, incarnation, str(settings.reports))
         self.leadership = Leadership(
             own_term,
@@ -148,8 +148,13 @@
 
     @property
     def daemon_count(self) -> int:
-        """How many daemons share the limits of backend servers, as last counted by a leader."""
-        return self._daemon_count
+        """How many daemons share the connections of backend servers, as far as is known."""
+        return self._counted_daemons or self._settings.expected_daemons
+
+    @property
+    def counted_daemons(self) -> int | None:
+        """How many daemons a leader counted last, None if this daemon has heard of no count."""
+        return self._counted_daemons
 
     def record_key(self, service: str, key: int) -> None:
         """Count a request for *key*."""
@@ -461,7 +466,7 @@
         # A new leader has not yet received a report from every daemon.
         is_count_complete = self._clock.now() - self._term_changed_at() > 2 * REPORT_PERIOD_MS
         if is_count_complete:
-            self._daemon_count = max(1, ack.daemon_count)
+            self._counted_daemons = max(1, ack.daemon_count)
 
     def _observe_peer_offsets(self, offsets: Mapping[str, int]) -> None:
         """Compare a peer's offsets with those of this daemon's consumers."""
--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -17,6 +17,8 @@
 # Part of an equal share that a daemon uses while no leader issues permits to it.  The leader may
 # give the whole limit to other daemons meanwhile, and servers allow half of it in addition.
 UNLED_SHARE_RATIO = 0.5
+# How many daemons share a limit as long as no leader has counted them: the most that are supported.
+UNCOUNTED_DAEMONS = 480
 # By then there is usually a leader again, so that callers needn't wait for the daemon's own share.
 LEADER_RETURN_MS = 1_000
 DENIAL_MEMORY_MAX_MS = 500
@@ -56,22 +58,23 @@
 class PermitPool:
     """Acquires turns for this daemon's requests, one for each send.
 
-    The leader issues permits for them by demand.  While there is none, each of the *daemon_count*
-    daemons uses a share of its own.  Turns that were not used are kept for the next requests.
+    The leader issues permits for them by demand.  While there is none, each daemon uses a share of
+    its own.  *count_daemons* returns how many there are, None if no leader has counted them.  Turns
+    that were not used are kept for the next requests.
     """
 
     def __init__(
         self,
         registry: LimitRegistry,
         channel: PermitChannel,
-        daemon_count: Callable[[], int],
+        count_daemons: Callable[[], int | None],
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
         self._registry = registry
         self._channel = channel
-        self._daemon_count = daemon_count
+        self._count_daemons = count_daemons
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
@@ -155,7 +158,7 @@
         if rate is None:
             return Permit(True, 0)
         now = self._clock.now()
-        share = rate * UNLED_SHARE_RATIO / max(1, self._daemon_count())
+        share = rate * UNLED_SHARE_RATIO / (self._count_daemons() or UNCOUNTED_DAEMONS)
         # A random phase keeps the daemons' turns apart.
         first_turn = now + self._rng.uniform(0, 1_000 / share)
         limiter = limiter_for(self._own_shares, server, share, first_turn, now)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -122,7 +122,7 @@
         self.pool = PermitPool(
             self.registry,
             self.channel,
-            lambda: len(fleet.daemons),
+            lambda: len(fleet.daemons) if fleet.is_counted else None,
             self._clock,
             random.Random(seed),
             NullMetrics(),
@@ -290,6 +290,19 @@
 
         run_virtual(scenario())
 
+    def test_daemons_that_nobody_has_counted_keep_the_limit(self):
+        """All daemons start while there is no leader."""
+
+        async def scenario():
+            fleet = PermitFleet(195, 8.0, seed=3, is_counted=False)
+            fleet.leader = None
+            for daemon in fleet.daemons:
+                daemon.registry.record_response(SERVER, 8.0, 0, 0)
+            await fleet.run(rate=200, seconds=30)
+            assert most_in_window(fleet.sent_at) <= allowed(8.0)
+
+        run_virtual(scenario())
+
     @pytest.mark.parametrize("seed", range(4))
     def test_daemons_that_are_cut_off_and_return_keep_the_limit(self, seed: int):
         """A machine that is cut off is excused by the rule, so only the others are counted."""
