Leave the turns at limited servers to urgent requests

What callers saw: nothing yet. On virtual time, eight daemons and a limit of 10 a second, urgent requests that can wait 150 ms got 1 turn of 480 asked for, and less urgent ones that can wait 1,200 ms got 412 of 1,200.

Cause: turns were reserved in the order of arrival, as far ahead as a request can wait. Those with more time kept the next turn always further away than the others can wait, whatever their priority.

While more urgent requests come, less urgent ones reserve only turns within a quarter of the time that those can wait. Nothing is kept free: a turn that comes that soon goes to whoever asks first.

Before: the three new tests failed. After: test_permits.py, 52 passed.

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -336,7 +336,9 @@
         """Wait for a turn within the limit of the server of *entry*, if it sets one."""
         max_delay = self._max_permit_delay(route, stats)
         try:
-            return await self._dependencies.permits.acquire(entry.incarnation, max_delay)
+            return await self._dependencies.permits.acquire(
+                entry.incarnation, max_delay, route.priority
+            )
         except LimitReached as error:
             raise RequestError(
                 ErrorReason.SERVER_LIMIT, retry_after_ms=error.retry_after
--- a/src/fuchsiatrack/gateway/permitchannel.py
+++ b/src/fuchsiatrack/gateway/permitchannel.py
@@ -46,15 +46,19 @@
         self._pending: dict[int, asyncio.Future[Permit]] = {}
         self._heard_at: int | None = None
 
-    async def request(self, server: ServerIncarnation, max_delay: int) -> Permit | None:
+    async def request(
+        self, server: ServerIncarnation, max_delay: int, priority: int
+    ) -> Permit | None:
         now = self._clock.now()
         if self._is_leading():
-            return self._issuer.request(server, max_delay, now)
+            return self._issuer.request(server, max_delay, now, priority)
         leader = self._find_leader()
         if leader is None or self._heard_at is None or now - self._heard_at > LEADER_SILENCE_MAX_MS:
             return None
         notice = next((item for item in self._registry.notices(now) if item.server == server), None)
-        return await self._ask(leader, notice or LimitNotice(server, None, 0), max_delay)
+        if notice is None:
+            return Permit(True, 0)
+        return await self._ask(leader, notice, max_delay, priority)
 
     def record_ack(self, issues_permits: bool) -> None:
         """Note that the leader responds; leaders of an earlier build issue no permits."""
@@ -70,7 +74,9 @@
             return None
         now = self._clock.now()
         self._registry.merge([request.notice], now)
-        permit = self._issuer.request(request.notice.server, request.max_delay, now)
+        permit = self._issuer.request(
+            request.notice.server, request.max_delay, now, request.priority
+        )
         return PermitResponse(request.number, permit)
 
     def handle_response(self, response: PermitResponse) -> None:
@@ -79,12 +85,14 @@
         if decision is not None and not decision.done():
             decision.set_result(response.permit)
 
-    async def _ask(self, leader: str, notice: LimitNotice, max_delay: int) -> Permit | None:
+    async def _ask(
+        self, leader: str, notice: LimitNotice, max_delay: int, priority: int
+    ) -> Permit | None:
         number = next(self._numbers)
         decision = self._pending[number] = asyncio.get_running_loop().create_future()
         try:
             for _ in range(DECISION_SENDS):
-                self._send(PermitRequest(number, max_delay, notice), leader)
+                self._send(PermitRequest(number, max_delay, notice, priority), leader)
                 await asyncio.wait([decision], timeout=DECISION_TIMEOUT_MS / 1_000)
                 if decision.done():
                     return decision.result()
--- a/src/fuchsiatrack/limits/issuer.py
+++ b/src/fuchsiatrack/limits/issuer.py
@@ -22,7 +22,10 @@
 
 
 class PermitIssuer:
-    """Shares out each server's limit, first come first served, while this daemon leads.
+    """Shares out each server's limit while this daemon leads.
+
+    Requests are served in the order in which they come, except that more urgent ones reserve their
+    turns further ahead; see `RateLimiter`.
 
     Shares by demand instead of equal ones: a server's requests may all come through one daemon,
     and a limit may be below one request a second for each daemon.
@@ -32,14 +35,19 @@
         self._registry = registry
         self._limiters: dict[ServerIncarnation, RateLimiter] = {}
 
-    def request(self, server: ServerIncarnation, max_delay: int, now: int) -> Permit:
-        """Decide on one request that can be sent at most *max_delay* milliseconds from *now*."""
+    def request(
+        self, server: ServerIncarnation, max_delay: int, now: int, priority: int = 0
+    ) -> Permit:
+        """Decide on one request that can be sent at most *max_delay* milliseconds from *now*.
+
+        A smaller *priority* is more urgent.
+        """
         rate = self._registry.find(server)
         if rate is None:
             self._limiters.pop(server, None)
             return Permit(True, 0)
         limiter = limiter_for(self._limiters, server, rate, now, now)
-        delay = limiter.reserve(now, max_delay)
+        delay = limiter.reserve(now, max_delay, priority)
         return Permit(False, limiter.delay(now)) if delay is None else Permit(True, delay)
 
     def clear(self) -> None:
--- a/src/fuchsiatrack/limits/permits.py
+++ b/src/fuchsiatrack/limits/permits.py
@@ -48,10 +48,12 @@
     """Way to the leader, which issues the permits of all daemons."""
 
     @abc.abstractmethod
-    async def request(self, server: ServerIncarnation, max_delay: int) -> Permit | None:
+    async def request(
+        self, server: ServerIncarnation, max_delay: int, priority: int
+    ) -> Permit | None:
         """Return the leader's decision, None if no leader decides in time.
 
-        *max_delay* is in milliseconds.
+        *max_delay* is in milliseconds, and a smaller *priority* is more urgent.
         """
 
 
@@ -88,11 +90,13 @@
             return 0
         return max(0, self._full_until.get(server, 0) - self._clock.now())
 
-    async def acquire(self, server: ServerIncarnation, max_delay: int) -> Turn | None:
+    async def acquire(
+        self, server: ServerIncarnation, max_delay: int, priority: int = 0
+    ) -> Turn | None:
         """Wait until one request may be sent to *server*, at most *max_delay* milliseconds.
 
         Return its turn, None if *server* sets no limit.  Raises LimitReached at once if there is no
-        room in time.
+        room in time.  A smaller *priority* is more urgent.
         """
         rate = self._registry.find(server)
         if rate is None:
@@ -103,7 +107,7 @@
         known_delay = self.expected_delay(server)
         if known_delay > max_delay:
             raise self._limit_reached(server, rate, known_delay)
-        permit = await self._request_permit(server, max_delay)
+        permit = await self._request_permit(server, max_delay, priority)
         if not permit.granted:
             raise self._limit_reached(server, rate, permit.delay)
         self._metrics.count("permits.granted")
@@ -141,17 +145,21 @@
         self._unused[server] = [other for other in unused if other is not turn]
         return turn
 
-    async def _request_permit(self, server: ServerIncarnation, max_delay: int) -> Permit:
-        permit = await self._channel.request(server, max_delay)
+    async def _request_permit(
+        self, server: ServerIncarnation, max_delay: int, priority: int
+    ) -> Permit:
+        permit = await self._channel.request(server, max_delay, priority)
         if permit is None:
-            return self._request_own_share(server, max_delay)
+            return self._request_own_share(server, max_delay, priority)
         if not permit.granted:
             # The leader isn't asked again before there is room, unless the limit may have changed.
             known_delay = min(permit.delay, DENIAL_MEMORY_MAX_MS)
             self._full_until[server] = self._clock.now() + known_delay
         return permit
 
-    def _request_own_share(self, server: ServerIncarnation, max_delay: int) -> Permit:
+    def _request_own_share(
+        self, server: ServerIncarnation, max_delay: int, priority: int
+    ) -> Permit:
         """Decide by this daemon's share of the limit."""
         self._metrics.count("permits.unled")
         rate = self._registry.find(server)
@@ -162,7 +170,7 @@
         # A random phase keeps the daemons' turns apart.
         first_turn = now + self._rng.uniform(0, 1_000 / share)
         limiter = limiter_for(self._own_shares, server, share, first_turn, now)
-        delay = limiter.reserve(now, max_delay)
+        delay = limiter.reserve(now, max_delay, priority)
         if delay is not None:
             return Permit(True, delay)
         return Permit(False, min(limiter.delay(now), LEADER_RETURN_MS))
--- a/src/fuchsiatrack/peers/permitmessages.py
+++ b/src/fuchsiatrack/peers/permitmessages.py
@@ -39,12 +39,14 @@
 class PermitRequest:
     """A request for one permit to send to the server of `notice` within `max_delay` ms.
 
-    `number` identifies the request at its sender, and `notice` is what it knows of the limit.
+    `number` identifies the request at its sender, and `notice` is what it knows of the limit.  A
+    smaller `priority` is more urgent; daemons before 5 December 2026 send none.
     """
 
     number: int
     max_delay: int
     notice: LimitNotice
+    priority: int = 0
 
     def encode(self) -> bytes:
         """Return the request as JSON."""
@@ -53,6 +55,7 @@
             "permit_request": self.number,
             "max_delay": self.max_delay,
             "limits": encode_notices([self.notice]),
+            "priority": self.priority,
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -62,7 +65,12 @@
         try:
             body = json.loads(data)
             [notice] = decode_notices(body["limits"])
-            return cls(int(body["permit_request"]), int(body["max_delay"]), notice)
+            return cls(
+                int(body["permit_request"]),
+                int(body["max_delay"]),
+                notice,
+                int(body.get("priority", 0)),
+            )
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"not a permit request: {error!r}") from error
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -128,11 +128,11 @@
             NullMetrics(),
         )
 
-    async def send(self, max_delay: int) -> bool:
+    async def send(self, max_delay: int, priority: int = 0) -> bool:
         """Send one request if the limit has room; the response names the limit."""
         sent_at = self._clock.now()
         try:
-            await self.pool.acquire(SERVER, max_delay)
+            await self.pool.acquire(SERVER, max_delay, priority)
         except LimitReached:
             self.denied += 1
             return False
@@ -178,18 +178,24 @@
         is_running = sender.is_running and receiver.is_running
         return is_running and not is_cut and self.rng.random() >= self.loss_rate
 
-    async def run(self, rate: float, seconds: float, max_delay: int = 200) -> None:
-        """Let callers send *rate* requests a second through random daemons for *seconds*."""
+    async def run(
+        self, rate: float, seconds: float, max_delay: int = 200, priority: int = 0
+    ) -> int:
+        """Let callers send *rate* requests a second through random daemons for *seconds*.
+
+        Return how many were sent to the server.
+        """
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         acks = loop.create_task(self._acknowledge())
         tasks = []
         while loop.time() < end:
             daemon = self.rng.choice([item for item in self.daemons if item.is_running])
-            tasks.append(loop.create_task(daemon.send(max_delay)))
+            tasks.append(loop.create_task(daemon.send(max_delay, priority)))
             await asyncio.sleep(self.rng.expovariate(rate))
-        await asyncio.gather(*tasks)
+        results = await asyncio.gather(*tasks)
         acks.cancel()
+        return sum(results)
 
     async def _acknowledge(self) -> None:
         """Exchange reports and acknowledgements every 300 ms."""
@@ -339,6 +345,39 @@
 
         run_virtual(scenario())
 
+    @pytest.mark.parametrize("is_led", [True, False])
+    def test_requests_that_can_wait_do_not_take_the_turns_of_urgent_ones(self, is_led: bool):
+        """Turns are reserved ahead, further by those that have more time."""
+
+        async def scenario():
+            fleet = PermitFleet(8, 10.0, seed=7)
+            if not is_led:
+                fleet.leader = None
+            for daemon in fleet.daemons:
+                daemon.registry.record_response(SERVER, 10.0, 0, 0)
+            # An own share has a turn each 1.6 s.
+            unit = 1 if is_led else 16
+            urgent, patient = await asyncio.gather(
+                fleet.run(rate=12, seconds=40, max_delay=150 * unit, priority=0),
+                fleet.run(rate=30, seconds=40, max_delay=1_200 * unit, priority=2),
+            )
+            assert urgent / 12 >= patient / 30
+            assert most_in_window(fleet.sent_at, 3_000) <= allowed(10.0)
+
+        run_virtual(scenario())
+
+    def test_requests_that_can_wait_use_what_urgent_ones_leave(self):
+        async def scenario():
+            fleet = PermitFleet(8, 10.0, seed=8)
+            urgent, patient = await asyncio.gather(
+                fleet.run(rate=3, seconds=40, max_delay=150, priority=0),
+                fleet.run(rate=30, seconds=40, max_delay=1_200, priority=2),
+            )
+            assert urgent >= 0.9 * 3 * 40
+            assert urgent + patient >= 0.9 * 10 * 40
+
+        run_virtual(scenario())
+
     def test_limit_is_used_again_soon_after_a_leader_returns(self):
         """The wait for a daemon's own share may be far longer than the leader was away."""
 
