Try every limited server before a request without a key is rejected

With two servers, one at 0.1 and one at 6 requests a second, one of four requests that came at once was rejected, though the second server had room half a second later and the request 4 s to wait.

Cause: when no server had room at once, the request waited at the server with the least expected time only. For a full server that time is known for half a second ahead at most, so that it may look closer than a slow one with room.

Now the request goes on to the next limited server, and is rejected with the earliest Retry-After of all once none has room in time.

Before: test_requests_without_keys_find_the_limited_server_that_has_room failed (503 for the first of the third four). After: test_server_limits.py, 5 passed.

--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -131,8 +131,10 @@
         self._deadline = 0
         self._excluded_servers: frozenset[str] = frozenset()
         self._tried_servers: set[str] = set()
-        # Servers that had no room within their limits when this request could have gone elsewhere.
+        # Servers that had no room within their limits, and the error of the one with room first.
         self._limited_servers: frozenset[str] = frozenset()
+        self._limit_error: RequestError | None = None
+        # Whether the request waits for room, after no server has had room at once.
         self._waits_for_limit = False
         self._failed_connects = 0
         self._may_have_run = False
@@ -222,9 +224,11 @@
             try:
                 selection_request = self._selection_request(service, request_metadata.key)
                 entry = await selector.select(selection_request)
-            except RequestError:
+            except RequestError as request_error:
                 if not self._limited_servers:
                     raise
+                if self._waits_for_limit:
+                    raise self._limit_error from request_error
                 self._wait_for_limits()
                 continue
             self.outcome.server = entry.id
@@ -240,9 +244,9 @@
         return SelectionRequest(service, key, size, self._deadline, self._excluded_servers)
 
     def _wait_for_limits(self) -> None:
-        """Select among the servers without room as well, and wait for room at the next one."""
+        """Select among the servers without room as well, and wait for room at the next ones."""
         self._excluded_servers -= self._limited_servers
-        self._limited_servers = frozenset()
+        self._limited_servers, self._limit_error = frozenset(), None
         self._waits_for_limit = True
 
     async def _prepare_retry(
@@ -267,8 +271,7 @@
             # Nothing was sent; another server is selected.
             return
         if request_error.reason is ErrorReason.SERVER_LIMIT:
-            self._limited_servers |= {entry.id}
-            self._excluded_servers |= {entry.id}
+            self._exclude_limited(entry, request_error)
             return
         if request_error.reason is not ErrorReason.MOVED:
             self._excluded_servers |= {entry.id}
@@ -284,6 +287,13 @@
             raise request_error
         await self._clock.sleep(delay)
 
+    def _exclude_limited(self, entry: ServerEntry, limit_error: RequestError) -> None:
+        """Select the server of *entry* no more, as its limit leaves no room in time."""
+        self._limited_servers |= {entry.id}
+        self._excluded_servers |= {entry.id}
+        errors = [item for item in (self._limit_error, limit_error) if item is not None]
+        self._limit_error = min(errors, key=lambda item: item.retry_after_ms)
+
     def _failed_send(
         self, request_error: RequestError, route: Route, entry: ServerEntry
     ) -> FailedSend:
@@ -293,7 +303,7 @@
             verdict=request_error.verdict,
             is_idempotent=route.idempotent,
             can_resend=self._body.can_resend,
-            is_only_server=self._service.keyed or self._waits_for_limit,
+            is_only_server=self._service.keyed,
             sends=self.outcome.sends,
             failed_connects=self._failed_connects,
             slots=stats.slots,
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -104,6 +104,21 @@
         assert most_requests(arrivals, since_s) <= allowed_requests(2.0)
         assert set(load.statuses) == {200}
 
+    async def test_requests_without_keys_find_the_limited_server_that_has_room(self, fleet: Fleet):
+        slow = {"Timeout": "8000ms", "TargetLatency": "4000ms"}
+        fleet.publish(2, [route("reads", "/reads/", "safe", "catalogue", **slow)])
+        full, roomy = fleet.servers["catalogue-0"], fleet.servers["catalogue-1"]
+        full.name_limit("0.1")
+        roomy.name_limit("6")
+        roomy.work_ms = 900
+        load = Load(fleet, "/reads/", (None,), deadline=8_000)
+        await load.run(3, 3)
+        load.statuses.clear()
+        for _ in range(4):
+            # Four requests at once; the last turn comes after half a second.
+            await load.run(1_000, 0.004)
+        assert load.statuses == [200] * 16
+
     async def test_requests_that_waited_for_a_stalled_server_do_not_reach_it_all_at_once(
         self, fleet: Fleet
     ):
