Drop a leader's turns of servers that have left

What callers saw: nothing. A leader kept a limiter for each server that had ever named a limit in its term, a few hundred bytes each.

Cause: only a request for a server whose limit had ended dropped its limiter, and servers that have left get no requests.

The new test calls a method that did not exist before, so that it could not fail on the old code; it shows that what is dropped is dropped.

--- a/src/fuchsiatrack/gateway/permitchannel.py
+++ b/src/fuchsiatrack/gateway/permitchannel.py
@@ -68,6 +68,10 @@
         """Begin to issue permits, without any from an earlier term."""
         self._issuer.clear()
 
+    def drop_outdated(self) -> None:
+        """Drop what was issued for servers that set no limit any more."""
+        self._issuer.drop_outdated()
+
     def handle_request(self, request: PermitRequest) -> PermitResponse | None:
         """Return the decision on another daemon's request, None unless this daemon leads."""
         if not self._is_leading():
--- a/src/fuchsiatrack/limits/issuer.py
+++ b/src/fuchsiatrack/limits/issuer.py
@@ -50,6 +50,11 @@
         delay = limiter.reserve(now, max_delay, priority)
         return Permit(False, limiter.delay(now)) if delay is None else Permit(True, delay)
 
+    def drop_outdated(self) -> None:
+        """Drop the turns of servers that set no limit any more."""
+        for server in self._limiters.keys() - self._registry.rates.keys():
+            del self._limiters[server]
+
     def clear(self) -> None:
         """Forget all turns, at the start of a term."""
         self._limiters.clear()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -99,6 +99,20 @@
         registry.record_response(SERVER, None, 200, 210)
         assert issuer.request(SERVER, 0, 220) == Permit(True, 0)
 
+    def test_servers_that_left_leave_nothing_behind(self):
+        """A leader may stay for months and see thousands of servers."""
+        listed = {SERVER}
+        registry = LimitRegistry(listed.__contains__)
+        issuer = PermitIssuer(registry)
+        registry.record_response(SERVER, 1.0, 0, 0)
+        assert issuer.request(SERVER, 0, 0).granted
+        issuer.drop_outdated()
+        assert not issuer.request(SERVER, 0, 1).granted
+        listed.clear()
+        issuer.drop_outdated()
+        listed.add(SERVER)
+        assert issuer.request(SERVER, 0, 2).granted
+
 
 class Daemon:
     """A daemon with its permits; `sent_at` are the times of its requests to the server."""
