Refuse datagrams whose limit is not a number from 0 on

What callers saw: nothing yet. A datagram with a limit of NaN or infinity, or a negative or boolean one, would have set it for all daemons: a NaN compares with nothing, so that every turn would be due at once.

Cause: the value was converted without a check.

Before: four of the six new cases were accepted.

--- a/src/fuchsiatrack/peers/permitmessages.py
+++ b/src/fuchsiatrack/peers/permitmessages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -26,7 +27,7 @@
         return tuple(
             LimitNotice(
                 ServerIncarnation(str(server), int(started_at)),
-                None if rate is None else float(rate),
+                None if rate is None else _decode_rate(rate),
                 max(0, int(age)),
             )
             for server, started_at, rate, age in rows
@@ -35,6 +36,13 @@
         raise ValueError(f"not limit notices: {error!r}") from error
 
 
+def _decode_rate(value: Any) -> float:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < math.inf:
+        raise ValueError(f"not a rate: {value!r}")
+    return float(value)
+
+
 @dataclasses.dataclass(frozen=True)
 class PermitRequest:
     """A request for one permit to send to the server of `notice` within `max_delay` ms.
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -13,6 +15,7 @@
     LimitNotice,
     LimitRegistry,
 )
+from fuchsiatrack.peers.permitmessages import decode_notices, encode_notices
 from fuchsiatrack.platform.headers import PlatformHeaderCodec
 
 SERVER = ServerIncarnation("s1", 1)
@@ -49,6 +52,19 @@
         assert _parse(signed=False) is None
 
 
+class TestLimitNotices:
+    """Limits in the datagrams of other daemons."""
+
+    def test_notices_are_decoded_as_they_were_encoded(self):
+        notices = (LimitNotice(SERVER, 8.8, 5), LimitNotice(SERVER, None, 0))
+        assert decode_notices(json.loads(json.dumps(encode_notices(notices)))) == notices
+
+    @pytest.mark.parametrize("rate", ["NaN", "Infinity", "-1", "true", '"fast"', "[]"])
+    def test_rate_that_is_none_is_refused(self, rate: str):
+        with pytest.raises(ValueError):
+            decode_notices(json.loads(f'[["s1", 1, {rate}, 0]]'))
+
+
 class TestLimitRegistry:
     """Which observation of a server's limit counts."""
 
