--- a/src/fuchsiatrack_standins/soak/faults.py
+++ b/src/fuchsiatrack_standins/soak/faults.py
@@ -24,8 +24,8 @@
 # A limit lasts for this long and a random time, and changes once.
 LIMIT_S = 8.0
 LIMITED_AT_ONCE_MAX = 3
-# Limits in requests per second, from below one for each daemon to little less than the load; one has
-# all the digits that a float may need.
+# Limits in requests per second, from below one for each daemon to little less than the load. One
+# has all the digits that a float may need.
 LIMIT_RATES = (0.5, 2.5, 7.6000000000000005, 19.8)
 MALFORMED_LIMITS = ("", "-1", "nan", "1e9", "8,5")
 LOG_SERVICE_FAULTS = (
