Keep the limit of a server that the leader does not list

What callers saw: nothing yet.

Cause: nothing is recorded of servers that aren't listed, so that the leader knew no limit and granted every request. Daemons read the directory on their own, and a leader may be later than those that send, for seconds while the log is disturbed.

The request for a permit has always carried the sender's notice of the limit. The leader now decides by it if it lists no such server. The issuer gets the limit with each request, and drops a limiter once it has no turn reserved, since a new one would give the same turns.

The tests of the issuer follow its arguments; that of what it drops is stricter than before: a limiter with a reserved turn stays.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -280,7 +280,7 @@
             self._queues.keep_only(frozenset(self._directory.entries))
             self._limits.drop_outdated(self._clock.now())
             self._permits.drop_outdated()
-            self._range_service.permit_channel.drop_outdated()
+            self._range_service.permit_channel.drop_idle()
 
     def _read_gauges(self) -> dict[str, float]:
         table = self._configuration.current
--- a/src/fuchsiatrack/gateway/permitchannel.py
+++ b/src/fuchsiatrack/gateway/permitchannel.py
@@ -44,7 +44,7 @@
         self._send = send
         self._is_leading = is_leading
         self._find_term = find_term
-        self._issuer = PermitIssuer(registry)
+        self._issuer = PermitIssuer()
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Permit]] = {}
         self._heard_at: int | None = None
@@ -58,7 +58,8 @@
     ) -> Permit | None:
         now = self._clock.now()
         if self._is_leading():
-            return self._issuer.request(server, max_delay, now, priority)
+            rate = self._registry.find(server)
+            return self._issuer.request(server, rate, max_delay, now, priority)
         leader = self._find_leader()
         if leader is None or self._heard_at is None or now - self._heard_at > LEADER_SILENCE_MAX_MS:
             return None
@@ -75,18 +76,18 @@
         """Begin to issue permits, without any from an earlier term."""
         self._issuer.clear()
 
-    def drop_outdated(self) -> None:
-        """Drop what was issued for servers that set no limit any more."""
-        self._issuer.drop_outdated()
+    def drop_idle(self) -> None:
+        """Drop what needs not be kept of the permits that were issued."""
+        self._issuer.drop_idle(self._clock.now())
 
     def handle_request(self, request: PermitRequest) -> PermitResponse | None:
         """Return the decision on another daemon's request, None unless this daemon leads."""
         if not self._is_leading():
             return None
         now = self._clock.now()
-        self._registry.merge([request.notice], now)
+        rate = self._registry.resolve(request.notice, now)
         permit = self._issuer.request(
-            request.notice.server, request.max_delay, now, request.priority
+            request.notice.server, rate, request.max_delay, now, request.priority
         )
         return PermitResponse(request.number, permit)
 
--- a/src/fuchsiatrack/limits/issuer.py
+++ b/src/fuchsiatrack/limits/issuer.py
@@ -6,7 +6,6 @@
 
 from fuchsiatrack.directory.servers import ServerIncarnation
 from fuchsiatrack.limits.ratelimiter import RateLimiter
-from fuchsiatrack.limits.registry import LimitRegistry
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,18 +30,22 @@
     and a limit may be below one request a second for each daemon.
     """
 
-    def __init__(self, registry: LimitRegistry) -> None:
-        self._registry = registry
+    def __init__(self) -> None:
         self._limiters: dict[ServerIncarnation, RateLimiter] = {}
 
     def request(
-        self, server: ServerIncarnation, max_delay: int, now: int, priority: int = 0
+        self,
+        server: ServerIncarnation,
+        rate: float | None,
+        max_delay: int,
+        now: int,
+        priority: int = 0,
     ) -> Permit:
         """Decide on one request that can be sent at most *max_delay* milliseconds from *now*.
 
-        A smaller *priority* is more urgent.
+        *rate* is the limit of *server* in requests per second, None if it sets none.  A smaller
+        *priority* is more urgent.
         """
-        rate = self._registry.find(server)
         if rate is None:
             self._limiters.pop(server, None)
             return Permit(True, 0)
@@ -50,10 +53,11 @@
         delay = limiter.reserve(now, max_delay, priority)
         return Permit(False, limiter.delay(now)) if delay is None else Permit(True, delay)
 
-    def drop_outdated(self) -> None:
-        """Drop the turns of servers that set no limit any more."""
-        for server in self._limiters.keys() - self._registry.rates.keys():
-            del self._limiters[server]
+    def drop_idle(self, now: int) -> None:
+        """Drop the limiters of servers that have a free turn, as a new limiter has."""
+        self._limiters = {
+            server: limiter for server, limiter in self._limiters.items() if limiter.delay(now) > 0
+        }
 
     def clear(self) -> None:
         """Forget all turns, at the start of a term."""
--- a/src/fuchsiatrack/limits/registry.py
+++ b/src/fuchsiatrack/limits/registry.py
@@ -114,6 +114,17 @@
             if known is None or known.observed_at < observed_at:
                 self._put(notice.server, notice.rate, observed_at)
 
+    def resolve(self, notice: LimitNotice, now: int) -> float | None:
+        """Merge *notice* and return the limit of its server, in requests per second.
+
+        Nothing is recorded of a server that isn't listed here; the notice counts for it, since the
+        daemon that sent the notice may have read the directory later.
+        """
+        self.merge([notice], now)
+        if notice.server in self._observations or notice.rate is None:
+            return self.find(notice.server)
+        return max(notice.rate, RATE_MIN_PER_S)
+
     def drop_outdated(self, now: int) -> None:
         """Drop servers that have not been listed for some time, and limits that ended before."""
         self._unlisted_since = {
--- a/tests/test_limit_header.py
+++ b/tests/test_limit_header.py
@@ -11,6 +11,7 @@
 from fuchsiatrack.gateway.headers import ReportedLimit
 from fuchsiatrack.limits.registry import (
     END_MEMORY_MS,
+    RATE_MIN_PER_S,
     UNLISTED_MEMORY_MS,
     LimitNotice,
     LimitRegistry,
@@ -84,6 +85,20 @@
         registry.merge([LimitNotice(SERVER, 2.0, 49)], 200)
         assert registry.find(SERVER) == 2.0
 
+    def test_what_is_recorded_counts_more_than_an_older_notice(self):
+        registry = LimitRegistry(lambda server: True)
+        registry.record_response(SERVER, 5.0, sent_at=100, now=150)
+        assert registry.resolve(LimitNotice(SERVER, 9.0, 51), 200) == 5.0
+        registry.record_response(SERVER, None, sent_at=200, now=210)
+        assert registry.resolve(LimitNotice(SERVER, 9.0, 51), 220) is None
+
+    def test_notice_counts_for_a_server_that_is_not_listed(self):
+        registry = LimitRegistry(lambda server: False)
+        assert registry.resolve(LimitNotice(SERVER, 9.0, 51), 200) == 9.0
+        assert registry.resolve(LimitNotice(SERVER, 0.0, 51), 200) == RATE_MIN_PER_S
+        assert registry.resolve(LimitNotice(SERVER, None, 0), 200) is None
+        assert registry.find(SERVER) is None
+
     def test_next_incarnation_starts_without_a_limit(self):
         registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 5.0, sent_at=100, now=150)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -76,42 +76,36 @@
     """The leader decides for all daemons."""
 
     def test_denied_request_learns_when_there_will_be_room(self):
-        registry = LimitRegistry(lambda server: True)
-        registry.record_response(SERVER, 4.0, 0, 0)
-        issuer = PermitIssuer(registry)
-        assert issuer.request(SERVER, 0, 1_000) == Permit(True, 0)
-        assert issuer.request(SERVER, 100, 1_000) == Permit(False, 250)
-        assert issuer.request(SERVER, 250, 1_000) == Permit(True, 250)
+        issuer = PermitIssuer()
+        assert issuer.request(SERVER, 4.0, 0, 1_000) == Permit(True, 0)
+        assert issuer.request(SERVER, 4.0, 100, 1_000) == Permit(False, 250)
+        assert issuer.request(SERVER, 4.0, 250, 1_000) == Permit(True, 250)
 
     def test_limit_of_zero_lets_a_request_pass_now_and_then(self):
         registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 0.0, 0, 0)
-        issuer = PermitIssuer(registry)
-        assert issuer.request(SERVER, 0, 0).granted
-        assert not issuer.request(SERVER, 0, 1).granted
-        assert issuer.request(SERVER, 0, 10_200).granted
+        issuer, rate = PermitIssuer(), registry.find(SERVER)
+        assert issuer.request(SERVER, rate, 0, 0).granted
+        assert not issuer.request(SERVER, rate, 0, 1).granted
+        assert issuer.request(SERVER, rate, 0, 10_200).granted
 
     def test_ended_limit_needs_no_turn(self):
         registry = LimitRegistry(lambda server: True)
         registry.record_response(SERVER, 0.5, 0, 0)
-        issuer = PermitIssuer(registry)
-        issuer.request(SERVER, 0, 100)
+        issuer = PermitIssuer()
+        issuer.request(SERVER, registry.find(SERVER), 0, 100)
         registry.record_response(SERVER, None, 200, 210)
-        assert issuer.request(SERVER, 0, 220) == Permit(True, 0)
+        assert issuer.request(SERVER, registry.find(SERVER), 0, 220) == Permit(True, 0)
 
-    def test_servers_that_left_leave_nothing_behind(self):
+    def test_limiters_are_dropped_only_without_a_reserved_turn(self):
         """A leader may stay for months and see thousands of servers."""
-        listed = {SERVER}
-        registry = LimitRegistry(listed.__contains__)
-        issuer = PermitIssuer(registry)
-        registry.record_response(SERVER, 1.0, 0, 0)
-        assert issuer.request(SERVER, 0, 0).granted
-        issuer.drop_outdated()
-        assert not issuer.request(SERVER, 0, 1).granted
-        listed.clear()
-        issuer.drop_outdated()
-        listed.add(SERVER)
-        assert issuer.request(SERVER, 0, 2).granted
+        issuer = PermitIssuer()
+        assert issuer.request(SERVER, 1.0, 0, 0).granted
+        issuer.drop_idle(900)
+        assert not issuer.request(SERVER, 1.0, 0, 900).granted
+        issuer.drop_idle(1_000)
+        assert issuer.request(SERVER, 1.0, 0, 1_000).granted
+        assert not issuer.request(SERVER, 1.0, 0, 1_000).granted
 
 
 class Daemon:
@@ -124,7 +118,8 @@
         self.known_term = fleet.term
         self.sent_at: list[int] = []
         self.denied = 0
-        self.registry = LimitRegistry(lambda server: True)
+        self.lists_server = True
+        self.registry = LimitRegistry(lambda server: self.lists_server)
         self._fleet = fleet
         self._clock = NodeClock()
         self.channel = LeaderPermitChannel(
@@ -343,6 +338,27 @@
 
         run_virtual(scenario())
 
+    def test_leader_that_does_not_list_the_server_keeps_its_limit(self):
+        """The leader may read the directory later than the daemons that send."""
+
+        async def scenario():
+            fleet = PermitFleet(8, 7.6, seed=4)
+            idle, fleet.daemons = fleet.daemons[:1], fleet.daemons[1:]
+            idle[0].lists_server = False
+            acks = asyncio.create_task(self._acknowledge_by(idle[0], fleet))
+            await fleet.run(rate=60, seconds=20)
+            acks.cancel()
+            assert most_in_window(fleet.sent_at, 3_000) <= allowed(7.6)
+
+        run_virtual(scenario())
+
+    async def _acknowledge_by(self, leader: Daemon, fleet: PermitFleet) -> None:
+        while True:
+            leader.channel.drop_idle()
+            for daemon in fleet.daemons:
+                daemon.channel.record_ack(True)
+            await asyncio.sleep(0.3)
+
     @pytest.mark.parametrize("unheard", [2, 5, 7])
     def test_shares_beside_a_leader_that_does_not_hear_them_keep_the_limit(self, unheard: int):
         """The leader gives the whole limit to the daemons that reach it."""
