Test that daemons which are replaced in turn keep a server's limit

Three real daemons on stand-ins, 30 requests a second, a limit of 6: the leader is stopped and replaced, then the next one killed and replaced.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -6,6 +6,7 @@
 import bisect
 import itertools
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -39,7 +40,10 @@
 
 
 class Load:
-    """Callers that send requests through all daemons at a fixed pace; `statuses` are in order."""
+    """Callers that send requests through all daemons at a fixed pace.
+
+    `statuses` are in the order of the responses, 0 for none.
+    """
 
     def __init__(
         self, fleet: Fleet, path: str, keys: tuple[int | None, ...], deadline: int = 1_000
@@ -48,21 +52,37 @@
         self._path = path
         self._deadline = deadline
         self._keys = itertools.cycle(keys)
-        self._vms = itertools.cycle(fleet.settings)
+        self._vms = list(fleet.settings)
         self.statuses: list[int] = []
 
+    def enter(self, vm: str) -> None:
+        """Send requests through the daemon on *vm* too."""
+        self._vms.append(vm)
+
+    def leave(self, vm: str) -> None:
+        """Send no further request through the daemon on *vm*."""
+        self._vms.remove(vm)
+
     async def run(self, rate: float, duration_s: float) -> None:
         """Send *rate* requests a second for *duration_s*, then wait for their responses."""
         async with asyncio.TaskGroup() as tasks:
-            for _ in range(int(rate * duration_s)):
-                tasks.create_task(self._call(next(self._vms), next(self._keys)))
+            for number in range(int(rate * duration_s)):
+                vm = self._vms[number % len(self._vms)]
+                tasks.create_task(self._call(vm, next(self._keys)))
                 await asyncio.sleep(1 / rate)
 
     async def _call(self, vm: str, key: int | None) -> None:
-        status, _, _ = await self._fleet.call(self._path, vm, key=key, deadline=self._deadline)
+        try:
+            status, _, _ = await self._fleet.call(self._path, vm, key=key, deadline=self._deadline)
+        except aiohttp.ClientError:
+            status = 0
         self.statuses.append(status)
 
 
+def _is_leading(fleet: Fleet, vm: str) -> bool:
+    return fleet.daemons[vm]._range_service.leadership.has_valid_lease()
+
+
 @pytest.fixture
 async def fleet():
     """Yield three daemons with a keyed service of one server and one without keys of two."""
@@ -147,6 +167,29 @@
         assert most_requests(arrivals, since_s) <= allowed_requests(limit)
 
 
+class TestDaemonsThatComeAndGo:
+    """The limit holds while daemons, the leader among them, stop, are killed and start."""
+
+    async def test_daemons_that_are_replaced_in_turn_keep_the_limit(self, fleet: Fleet):
+        server, limit = fleet.servers["stock-0"], 6.0
+        server.name_limit(str(limit))
+        load = Load(fleet, "/stock/", tuple(range(0, 65_536, 1_024)))
+        loading = asyncio.create_task(load.run(30, CONTACT_S + 4 * WINDOW_S))
+        await asyncio.sleep(CONTACT_S)
+        for number, replace in enumerate((fleet.stop_daemon, fleet.kill_daemon)):
+            leader = max(fleet.daemons, key=lambda vm: _is_leading(fleet, vm))
+            load.leave(leader)
+            await replace(leader)
+            vm = f"entry-{DAEMONS + number}"
+            await fleet.add_daemon(vm)
+            await fleet.wait_ready()
+            load.enter(vm)
+        await loading
+        since_s = server.limits[0].since_s + CONTACT_S
+        arrivals = [item.at_s for item in server.arrivals]
+        assert most_requests(arrivals, since_s) <= allowed_requests(limit)
+
+
 class TestKeysOfLimitedServers:
     """Keys move to servers that have room, so that their requests aren't rejected."""
 
