Answer the reports of others when a daemon leads again

Cause: entry-2 had led term 1, and led again in term 3. A daemon that had led answered every report of a later term with the end notice of its earlier one, also while it led that later term itself. Nobody got an acknowledgement: no limits and their ends, no permits, no offsets, no count of daemons, and the leader counted no load and knew no addresses for its maps. A daemon without a count of daemons uses next to nothing of a limit, which made it show. The fault was found by reading on and has been open since; what it did to load, placement and late configurations before isn't known.

A daemon with a valid lease for the reported term now acknowledges; the notice is only for the others, as when the next leader tells its predecessor.

Before: test_daemon_that_leads_again_answers_the_reports_of_others failed, no acknowledgement within 3 s. After: it passes.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -404,11 +404,8 @@
         self.leadership.observe_term(report.term)
         if not self.leadership.holds_term and self._controlled_term:
             self._stop_controllers()
-        term_end_notice = self._term_end_notice
-        if term_end_notice is not None and term_end_notice.term < report.term:
-            return TermEndNotice(term_end_notice.term, self._extended_grants_remaining())
         if not self.leadership.has_valid_lease() or report.term != self.leadership.current.number:
-            return None
+            return self._respond_after_term(report.term)
         now = self._clock.now()
         self._limits.merge(report.limits, now)
         self._membership.record_report(report.vm)
@@ -430,6 +427,13 @@
             self._limits.notices(now),
         )
 
+    def _respond_after_term(self, reported_term: int) -> TermEndNotice | None:
+        """Return the notice of this daemon's latest term, if it ended before *reported_term*."""
+        notice = self._term_end_notice
+        if notice is None or notice.term >= reported_term:
+            return None
+        return TermEndNotice(notice.term, self._extended_grants_remaining())
+
     def _find_leader_address(self) -> str | None:
         """Return the address of another daemon that leads, None if there is none."""
         term = self.leadership.current
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -420,6 +420,26 @@
         fleet.log_service.mode = LogServiceMode.SERVING
         assert not started_again
 
+    async def test_daemon_that_leads_again_answers_the_reports_of_others(
+        self, fleet: Fleet, monkeypatch
+    ):
+        """It counts their load, and tells them its offsets and of limits and owners."""
+        await fleet.add_daemon("entry-2")
+        await fleet.wait_ready()
+        first, second = (fleet.daemons[vm]._range_service for vm in ("entry-1", "entry-2"))
+        await _wait_for(lambda: first._controllers, 3.0)
+
+        async def never() -> bool:
+            return False
+
+        monkeypatch.setattr(second.leadership, "_is_leader_lost", never)
+        first_term = first.leadership.current.number
+        await first.leadership.resign(0)
+        await _wait_for(lambda: first._controlled_term > first_term, 6.0)
+        leads_again_at = second._clock.now()
+        await _wait_for(lambda: second._last_ack_at > leads_again_at, 3.0)
+        assert first._membership.count == 2
+
     async def test_leader_without_log_service_extends_grants_before_it_stops(self, fleet: Fleet):
         """No daemon can take over, so grants must last until the log service is back."""
         await _wait_for(fleet.daemons["entry-1"]._range_service.leadership.has_valid_lease, 3.0)
