Log why the keys of a moving range count as free, and repeated lease renewals

Two servers held the same keys, and the logs could not tell an ordinary release from a move that only an entry of the server directory had set free, or from a lease that was renewed by the response to an earlier renewal.

move finished now has freed_by, from_born, fence and grants_remaining_ms; a repeated renewal has a line of its own. No decision changes.

--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import functools
 import logging
 from collections.abc import Awaitable, Callable
@@ -44,6 +45,26 @@
     error: Exception | None = None
 
 
+class ReleaseReason(enum.Enum):
+    """Why the keys of a moving range count as free; the values are written to logs."""
+
+    RELEASED = "released"
+    EXPIRED = "expired"
+    OWNER_ENDED = "owner ended"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Release:
+    """Why a range is free, and the handover of its owner, empty without a response of it.
+
+    `grants_remaining` is for how many milliseconds grants to the owner might have lasted.
+    """
+
+    reason: ReleaseReason
+    grants_remaining: int
+    handover: str = ""
+
+
 class RangeController(OwnershipView):
     """Controls the key ranges of one service during one term of this daemon.
 
@@ -274,11 +295,11 @@
     async def _complete_move(self, item: OwnedRange) -> None:
         """Complete one move: release the range, save its new owner, and grant it."""
         started_at = self._clock.now()
-        handover = await self._release_from_owner(item)
-        if handover is None:
+        release = await self._release_from_owner(item)
+        if release is None:
             return
         try:
-            await self._update(lambda current: _finish_move(current, item, handover))
+            await self._update(lambda current: _finish_move(current, item, release.handover))
         except NotLeading as error:
             log.info("move left to the next leader", extra={"first": item.first, "why": str(error)})
             return
@@ -288,8 +309,12 @@
             "first": item.first,
             "last": item.last,
             "from": item.owner.server,
+            "from_born": item.owner.started_at,
             "to": finished.owner.server if finished else "",
-            "handover": bool(handover),
+            "fence": item.next_fence,
+            "freed_by": release.reason.value,
+            "grants_remaining_ms": release.grants_remaining,
+            "handover": bool(release.handover),
             "took_ms": self._clock.now() - started_at,
         }
         log.info("move finished", extra=fields)
@@ -297,22 +322,21 @@
         if finished:
             self._renewer.renew_now(finished.owner)
 
-    async def _release_from_owner(self, item: OwnedRange) -> str | None:
-        """Wait until the owner of *item* certainly no longer serves it, and return the handover.
+    async def _release_from_owner(self, item: OwnedRange) -> _Release | None:
+        """Wait until the owner of *item* certainly no longer serves it.
 
-        The handover is empty if the owner has ended or its grant has expired. Return None if the
-        term ends first.
+        Return None if the term ends first.
         """
         while self._leadership.holds_term:
+            expires_at = self._renewer.expiries.expires_at(item.owner, item.first, item.last)
+            remaining = max(0, expires_at - self._clock.now())
             if self._directory.has_ended(item.owner):
-                return ""
-            if self._clock.now() >= self._renewer.expiries.expires_at(
-                item.owner, item.first, item.last
-            ):
-                return ""
+                return _Release(ReleaseReason.OWNER_ENDED, remaining)
+            if not remaining:
+                return _Release(ReleaseReason.EXPIRED, remaining)
             token = await self._try_release(item)
             if token is not None:
-                return token
+                return _Release(ReleaseReason.RELEASED, remaining, token)
             await self._clock.sleep(RETRY_DELAY_MS)
         return None
 
--- a/src/fuchsiatrack/ranges/leadership.py
+++ b/src/fuchsiatrack/ranges/leadership.py
@@ -87,6 +87,8 @@
         self._leader_seen_at = clock.now()
         self._sequence = 0
         self._renewal_number = 0
+        # When the renewal with the latest number was first sent, None once it has a response.
+        self._renewal_first_sent_at: int | None = None
         self._state_lock = asyncio.Lock()
         self._term_changed = asyncio.Event()
         self._renewal_failing_since: int | None = None
@@ -339,6 +341,8 @@
         The first renewal of a term also fences renewals of earlier terms.
         """
         sent_at = self._clock.now()
+        if self._renewal_first_sent_at is None:
+            self._renewal_first_sent_at = sent_at
         self._renewal_number += 1
         writer = Writer(WRITER_NAME, self._current.number, self._renewal_number)
         value = json.dumps({"term": writer.epoch, "renewal": self._renewal_number}).encode()
@@ -353,6 +357,10 @@
             self._record_renewal_failure(str(error))
             await self._clock.sleep(RENEWAL_RETRY_DELAY_MS)
             return
+        if self._renewal_first_sent_at < sent_at:
+            fields = {"term": writer.epoch, "first_sent_ms": sent_at - self._renewal_first_sent_at}
+            log.info("lease renewed by a repeated renewal", extra=fields)
+        self._renewal_first_sent_at = None
         self._record_renewal(sent_at)
         await self._clock.sleep_until(sent_at + RENEWAL_PERIOD_MS)
 
