Test that keys of a server restarted under its id have one holder

A new run takes renewals that were sent for the former one. Its later entry then frees the keys at once (ServerDirectory.has_ended), and grants recorded for the former run are not found under the later one.

--- /dev/null
+++ b/tests/test_owner_incident.py
@@ -0,0 +1,373 @@
+"""Ways in which two servers could hold the same keys, each as seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from fuchsiatrack.control.compactedlog import ReadContext
+from fuchsiatrack.directory.departurebudget import DepartureBudget
+from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
+from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.limits.registry import LimitRegistry
+from fuchsiatrack.ranges.controller import RangeController
+from fuchsiatrack.ranges.grantclient import (
+    GrantRefused,
+    NotDelivered,
+    RangeGrantClient,
+    WrongServer,
+)
+from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
+from fuchsiatrack.ranges.planner import BalancedPlanner
+from tests.fakes import NodeClock, run_virtual
+from tests.test_ranges import FakeLeadership, SavedMaps
+
+SERVICE = "stock"
+SLOTS = 4
+MAX_GRANT_MS = 10_000
+# Time of a message between a daemon and a server.
+MESSAGE_MS = 2
+SAMPLE_KEYS = tuple(range(0, LAST_KEY, 331))
+# Keys of a server that was restarted and is reachable have a holder again within this time.
+HOLDERLESS_MAX_MS = 1_500
+INCARNATIONS = tuple(ServerIncarnation(f"s{index}", 5_000) for index in range(4))
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyGrant:
+    """A grant as a server holds it, until the time *expires_at* in milliseconds."""
+
+    first: int
+    last: int
+    fence: int
+    expires_at: int
+
+    def overlaps(self, first: int, last: int) -> bool:
+        return self.first <= last and first <= self.last
+
+
+class ServerLife:
+    """One process of a server: the fences that it has seen, and its grants."""
+
+    def __init__(self, incarnation: ServerIncarnation) -> None:
+        self.incarnation = incarnation
+        self.fences: list[tuple[int, int, int]] = []
+        self.grants: list[KeyGrant] = []
+
+    def highest_fence(self, first: int, last: int) -> int:
+        """Return the highest fence seen for any key from *first* to *last*."""
+        seen = (fence for a, b, fence in self.fences if a <= last and first <= b)
+        return max(seen, default=0)
+
+    def clear(self, first: int, last: int) -> None:
+        """Give up the keys from *first* to *last*."""
+        kept = []
+        for item in self.grants:
+            if not item.overlaps(first, last):
+                kept.append(item)
+                continue
+            if item.first < first:
+                kept.append(dataclasses.replace(item, last=first - 1))
+            if last < item.last:
+                kept.append(dataclasses.replace(item, first=last + 1))
+        self.grants = kept
+
+
+class Servers:
+    """Server processes by address.
+
+    `overlaps` lists the grants that a server took while another one held some of their keys, and
+    `fence_faults` those with a fence that is not above one which another server had on them.
+    Both are texts.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.lives: dict[str, ServerLife] = {}
+        self.cut: set[str] = set()
+        self.overlaps: list[str] = []
+        self.fence_faults: list[str] = []
+        # Grants taken by processes of each server, also ended ones: keys and fence.
+        self._taken: list[tuple[str, int, int, int]] = []
+
+    def start(self, address: str, incarnation: ServerIncarnation) -> None:
+        """Start a process at *address*; the one before it has ended."""
+        self.lives[address] = ServerLife(incarnation)
+
+    def grant(self, address: str, first: int, last: int, fence: int, duration: int) -> bool:
+        """Apply a grant; return whether it was accepted."""
+        life, now = self.lives[address], self.clock.now()
+        if life.highest_fence(first, last) > fence:
+            return False
+        server = life.incarnation.server
+        text = f"{now} ms: {first} to {last} under fence {fence} to {life.incarnation}"
+        for other in self.lives.values():
+            if other is not life:
+                self.overlaps += [
+                    f"{text} while {other.incarnation} holds {item}"
+                    for item in other.grants
+                    if item.overlaps(first, last) and item.expires_at > now
+                ]
+        self.fence_faults += [
+            f"{text} after fence {had} of {name}"
+            for name, a, b, had in self._taken
+            if name != server and a <= last and first <= b and had >= fence
+        ]
+        if (server, first, last, fence) not in self._taken:
+            self._taken.append((server, first, last, fence))
+        life.fences.append((first, last, fence))
+        life.clear(first, last)
+        life.grants.append(KeyGrant(first, last, fence, now + duration))
+        return True
+
+    def release(self, address: str, first: int, last: int, fence: int) -> None:
+        """Give up keys and shut out lower fences."""
+        life = self.lives[address]
+        life.fences.append((first, last, fence))
+        life.clear(first, last)
+
+    def holders(self, key: int) -> list[ServerIncarnation]:
+        """Return the processes that hold *key* now."""
+        now = self.clock.now()
+        return [
+            life.incarnation
+            for life in self.lives.values()
+            if any(item.overlaps(key, key) and item.expires_at > now for item in life.grants)
+        ]
+
+
+class ServersClient(RangeGrantClient):
+    """A grant client whose requests reach the processes of `Servers`."""
+
+    def __init__(self, servers: Servers) -> None:
+        self._servers = servers
+
+    async def grant(self, server, grant, timeout):
+        await self._send(server)
+        if not self._servers.grant(
+            server.address, grant.first, grant.last, grant.fence, grant.duration
+        ):
+            raise GrantRefused(server.address)
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+
+    async def release(self, server, first, last, fence, timeout):
+        await self._send(server)
+        self._servers.release(server.address, first, last, fence)
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+        return f"token-{fence}"
+
+    async def can_reach(self, address, timeout):
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+        return address in self._servers.lives and address not in self._servers.cut
+
+    async def _send(self, server: ServerEntry) -> None:
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+        life = self._servers.lives.get(server.address)
+        if life is None or server.address in self._servers.cut:
+            raise NotDelivered(server.address)
+        if life.incarnation.server != server.id:
+            raise WrongServer(server.address)
+
+
+def _address(server: str) -> str:
+    return f"{server}:80"
+
+
+def _entry(incarnation: ServerIncarnation, **changes: object) -> ServerEntry:
+    entry = ServerEntry(
+        incarnation, SERVICE, _address(incarnation.server), "a", SLOTS, False, False
+    )
+    return dataclasses.replace(entry, **changes)
+
+
+class Site:
+    """Four listed servers, and controllers of successive leaders on one log, in virtual time."""
+
+    def __init__(self) -> None:
+        self.clock = NodeClock()
+        self.servers = Servers(self.clock)
+        self.directory = ServerDirectory(self.clock, DepartureBudget(2_000, 3_000))
+        for incarnation in INCARNATIONS:
+            self.servers.start(_address(incarnation.server), incarnation)
+            self.list(_entry(incarnation))
+        self.saved = SavedMaps()
+        self.start_leader()
+
+    def list(self, entry: ServerEntry) -> None:
+        """Put *entry* into the directory."""
+        self.directory.put(entry, ReadContext())
+
+    def start_leader(self) -> None:
+        """Start a controller with the latest map of the log."""
+        self.leadership = FakeLeadership()
+        self.controller = RangeController(
+            SERVICE,
+            self.leadership,
+            self.directory,
+            ServersClient(self.servers),
+            BalancedPlanner(),
+            self.clock,
+            MAX_GRANT_MS,
+            self.saved[-1] if self.saved else OwnershipMap(),
+            lambda item: self.clock.now(),
+            self.saved.save,
+            LimitRegistry(lambda server: True),
+        )
+        self.task = asyncio.create_task(self.controller.run())
+
+    def stop_leader(self) -> None:
+        """End the term of the controller."""
+        self.leadership.holds_term = False
+        self.task.cancel()
+
+    async def wait(self, duration: int) -> None:
+        """Let *duration* milliseconds pass."""
+        await asyncio.sleep(duration / 1_000)
+
+    async def wait_for_holders(self, timeout: int) -> None:
+        """Wait until every key has a holder; raise TimeoutError after *timeout* milliseconds."""
+        async with asyncio.timeout(timeout / 1_000):
+            while not all(self.servers.holders(key) for key in SAMPLE_KEYS):
+                await asyncio.sleep(0.005)
+
+    def check(self) -> None:
+        """Fail if a server took keys that another one held, or under a fence that is too low."""
+        assert not self.servers.overlaps
+        assert not self.servers.fence_faults
+
+
+def _later(incarnation: ServerIncarnation) -> ServerIncarnation:
+    return dataclasses.replace(incarnation, started_at=incarnation.started_at + 1_000)
+
+
+# What the entry of a restarted server may say so that its keys, or some of them, move elsewhere.
+MOVING_AWAY = pytest.mark.parametrize(
+    "changes", [{"slots": 1}, {"warming_up": True}, {"draining": True}], ids=lambda item: min(item)
+)
+
+
+class TestRestartUnderTheSameId:
+    """A server restarts, and takes grants for its former run, before its entry says so."""
+
+    former, later = INCARNATIONS[0], _later(INCARNATIONS[0])
+    address = _address(INCARNATIONS[0].server)
+
+    async def _start_with_restart(self) -> Site:
+        """Return a site at which a restarted server has taken renewals for its former run."""
+        site = Site()
+        await site.wait_for_holders(6_000)
+        await site.wait(2_000)
+        site.servers.start(self.address, self.later)
+        await site.wait(2_000)
+        assert site.servers.holders(0) == [self.later]
+        return site
+
+    @MOVING_AWAY
+    def test_keys_that_the_new_run_holds_move_only_after_its_release(self, changes: dict):
+        async def run():
+            site = await self._start_with_restart()
+            site.list(_entry(self.later, **changes))
+            await site.wait(8_000)
+            site.check()
+
+        run_virtual(run())
+
+    @MOVING_AWAY
+    def test_next_leader_moves_keys_only_after_the_release_of_the_new_run(self, changes: dict):
+        async def run():
+            site = await self._start_with_restart()
+            site.stop_leader()
+            await site.wait(400)
+            site.start_leader()
+            await site.wait(50)
+            site.list(_entry(self.later, **changes))
+            await site.wait(8_000)
+            site.check()
+
+        run_virtual(run())
+
+    @MOVING_AWAY
+    def test_leader_that_knows_only_the_later_entry_waits_for_the_release(self, changes: dict):
+        """The entry changes between two leaders, of which the later one reads the map."""
+
+        async def run():
+            site = await self._start_with_restart()
+            site.stop_leader()
+            await site.wait(200)
+            site.list(_entry(self.later, **changes))
+            await site.wait(200)
+            site.start_leader()
+            await site.wait(8_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_keys_of_the_new_run_wait_for_its_grants_when_it_is_cut_off(self):
+        async def run():
+            site = await self._start_with_restart()
+            site.servers.cut.add(self.address)
+            site.list(_entry(self.later))
+            await site.wait(12_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_keys_that_went_to_the_later_run_wait_for_grants_to_the_former_one(self):
+        """The range is given to the later run, which is cut off before any grant to it."""
+
+        async def run():
+            site = await self._start_with_restart()
+            site.list(_entry(self.later))
+            async with asyncio.timeout(3):
+                while site.saved[-1].find(0).owner != self.later:
+                    await site.wait(1)
+            site.servers.cut.add(self.address)
+            await site.wait(12_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_keys_wait_for_grants_of_the_former_leader_to_the_former_run(self):
+        """A leader gives the range to the later run, and the next one moves it on."""
+
+        async def run():
+            site = await self._start_with_restart()
+            site.list(_entry(self.later))
+            async with asyncio.timeout(3):
+                while site.saved[-1].find(0).owner != self.later:
+                    await site.wait(1)
+            site.servers.cut.add(self.address)
+            site.stop_leader()
+            await site.wait(300)
+            site.start_leader()
+            site.controller.cap_inherited_grants(0)
+            await site.wait(12_000)
+            site.check()
+
+        run_virtual(run())
+
+    @pytest.mark.parametrize("listed_after", [0, 130, 1_000, 2_000])
+    @pytest.mark.parametrize(
+        "changes", [{}, {"slots": 1}, {"draining": True}], ids=lambda item: min(item, default="")
+    )
+    def test_keys_have_a_holder_soon_after_the_entry_of_the_new_run(
+        self, listed_after: int, changes: dict
+    ):
+        """Guards against a fix that only waits until all grants have expired."""
+
+        async def run():
+            site = Site()
+            await site.wait_for_holders(6_000)
+            await site.wait(2_000)
+            site.servers.start(self.address, self.later)
+            await site.wait(listed_after)
+            site.list(_entry(self.later, **changes))
+            await site.wait_for_holders(HOLDERLESS_MAX_MS)
+            # A later move must not leave them without one for longer either.
+            for _ in range(16):
+                await site.wait(500)
+                await site.wait_for_holders(HOLDERLESS_MAX_MS)
+
+        run_virtual(run())
