Test late notices of a former leader, and addresses that are listed twice

A late notice caps what is recorded of the new leader's own extended grants, and what it reports of them to the next one. A former server whose clock was ahead makes the living one at its address count as ended.

--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -371,3 +371,127 @@
                 await site.wait_for_holders(HOLDERLESS_MAX_MS)
 
         run_virtual(run())
+
+
+class TestLateNoticeOfTheFormerLeader:
+    """A former leader's notice arrives after the new leader has sent extended grants itself."""
+
+    address = _address(INCARNATIONS[0].server)
+
+    async def _start_with_extended_grants(self) -> Site:
+        """Return a site whose new leader has sent extended grants, and then lost a server."""
+        site = Site()
+        await site.wait_for_holders(6_000)
+        site.stop_leader()
+        site.start_leader()
+        await site.wait(1_000)
+        site.leadership.is_lease_at_risk = True
+        await site.wait(300)
+        site.leadership.is_lease_at_risk = False
+        site.servers.cut.add(self.address)
+        await site.wait(300)
+        return site
+
+    @pytest.mark.parametrize("remaining", [0, 3_000])
+    def test_notice_leaves_the_new_leaders_own_grants(self, remaining: int):
+        async def run():
+            site = await self._start_with_extended_grants()
+            site.controller.cap_inherited_grants(remaining)
+            await site.wait(14_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_notice_leaves_what_the_new_leader_reports_itself(self):
+        async def run():
+            site = await self._start_with_extended_grants()
+            site.controller.cap_inherited_grants(0)
+            longest = max(
+                item.expires_at for life in site.servers.lives.values() for item in life.grants
+            )
+            assert site.clock.now() + site.controller.extended_grants_remaining >= longest
+            site.stop_leader()
+
+        run_virtual(run())
+
+    def test_grants_of_a_leader_that_got_a_late_notice_are_inherited(self):
+        async def run():
+            site = await self._start_with_extended_grants()
+            site.controller.cap_inherited_grants(0)
+            await site.wait(700)
+            remaining = site.controller.extended_grants_remaining
+            site.stop_leader()
+            site.start_leader()
+            site.controller.cap_inherited_grants(remaining)
+            await site.wait(14_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_notice_still_caps_what_was_inherited(self):
+        """Guards against a fix that ignores notices, so that keys wait for extended grants."""
+
+        async def run():
+            site = Site()
+            await site.wait_for_holders(6_000)
+            site.stop_leader()
+            site.servers.cut.add(self.address)
+            site.start_leader()
+            site.controller.cap_inherited_grants(0)
+            await site.wait(4_080 + 600 + 500)
+            await site.wait_for_holders(500)
+            site.check()
+
+        run_virtual(run())
+
+
+class TestReusedAddress:
+    """Another server, whose clock differs, is listed at the address of a living one."""
+
+    living = INCARNATIONS[0]
+
+    def _other(self, started_at: int) -> ServerEntry:
+        return _entry(ServerIncarnation("t9", started_at), service="other", address=_address("s0"))
+
+    @pytest.mark.parametrize("started_at", [4_000, 6_000])
+    def test_living_server_that_drains_keeps_its_keys_until_its_release(self, started_at: int):
+        async def run():
+            site = Site()
+            await site.wait_for_holders(6_000)
+            site.list(self._other(started_at))
+            await site.wait(500)
+            site.list(_entry(self.living, draining=True))
+            await site.wait(8_000)
+            site.check()
+
+        run_virtual(run())
+
+    @pytest.mark.parametrize("is_cut", [False, True])
+    @pytest.mark.parametrize("started_at", [4_000, 6_000])
+    def test_living_server_without_an_entry_keeps_its_keys(self, started_at: int, is_cut: bool):
+        async def run():
+            site = Site()
+            await site.wait_for_holders(6_000)
+            site.list(self._other(started_at))
+            if is_cut:
+                site.servers.cut.add(_address("s0"))
+            site.directory.remove("s0", ReadContext())
+            await site.wait(8_000)
+            site.check()
+
+        run_virtual(run())
+
+    def test_keys_are_free_soon_when_another_server_responds(self):
+        """Guards against a fix that waits until the grants of an ended server have expired."""
+
+        async def run():
+            site = Site()
+            await site.wait_for_holders(6_000)
+            other = self._other(6_000)
+            site.servers.start(_address("s0"), other.incarnation)
+            site.directory.remove("s0", ReadContext())
+            site.list(other)
+            await site.wait_for_holders(500)
+            site.check()
+
+        run_virtual(run())
