--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -4,13 +4,25 @@
 
 import asyncio
 import dataclasses
+import random
+from collections.abc import Awaitable, Callable
 
 import pytest
 
-from fuchsiatrack.control.compactedlog import ReadContext
+from fuchsiatrack.control.compactedlog import (
+    CompactedLog,
+    CompactedPage,
+    CompactedRecord,
+    ConditionFailed,
+    Fenced,
+    ReadContext,
+    Stream,
+    Writer,
+)
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import (
@@ -19,8 +31,11 @@
     RangeGrantClient,
     WrongServer,
 )
+from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
+from fuchsiatrack.ranges.ownershipcache import OwnershipCache
 from fuchsiatrack.ranges.planner import BalancedPlanner
+from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM, Term
 from tests.fakes import NodeClock, run_virtual
 from tests.test_ranges import FakeLeadership, SavedMaps
 
@@ -495,3 +510,274 @@
             site.check()
 
         run_virtual(run())
+
+
+@dataclasses.dataclass(frozen=True)
+class LoggedAppend:
+    """An append that the log has executed, sent by the daemon *sender*."""
+
+    sender: str
+    stream: Stream
+    writer: Writer | None
+    end: int
+
+
+class Partition:
+    """One partition of the log: its records, and the appends of its writers."""
+
+    def __init__(self) -> None:
+        self.records: list[CompactedRecord] = []
+        self.epoch = -1
+        self.sequence = 0
+        # The first responses to the last five appends of writers.
+        self.responses: dict[tuple[int, int], int] = {}
+
+
+class OneLog:
+    """A log that all daemons append to; `repeats_first` looks at repeats before epochs."""
+
+    def __init__(self, repeats_first: bool) -> None:
+        self._repeats_first = repeats_first
+        self._partitions: dict[Stream, Partition] = {}
+        self.appends: list[LoggedAppend] = []
+
+    def partition(self, stream: Stream) -> Partition:
+        return self._partitions.setdefault(stream, Partition())
+
+    def append(
+        self,
+        sender: str,
+        stream: Stream,
+        records: tuple[tuple[str, bytes], ...],
+        at: int | None,
+        writer: Writer | None,
+    ) -> int:
+        """Execute one append and return its response."""
+        partition = self.partition(stream)
+        if at is not None and at != len(partition.records):
+            raise ConditionFailed(f"ends at {len(partition.records)}")
+        if writer is not None:
+            repeated = partition.responses.get((writer.epoch, writer.sequence))
+            if repeated is not None and self._repeats_first:
+                return repeated
+            if writer.epoch < partition.epoch:
+                raise Fenced(f"epoch {partition.epoch}")
+            if repeated is not None:
+                return repeated
+            if writer.epoch == partition.epoch and writer.sequence != partition.sequence + 1:
+                raise AppendRefused(f"expected {partition.sequence + 1}")
+            partition.epoch, partition.sequence = writer.epoch, writer.sequence
+        first = len(partition.records)
+        partition.records += [
+            CompactedRecord(key, value, first + index) for index, (key, value) in enumerate(records)
+        ]
+        end = len(partition.records)
+        if writer is not None:
+            partition.responses[writer.epoch, writer.sequence] = end
+            while len(partition.responses) > 5:
+                del partition.responses[next(iter(partition.responses))]
+        self.appends.append(LoggedAppend(sender, stream, writer, end))
+        return end
+
+
+class OneLogClient(CompactedLog):
+    """One daemon's client of `OneLog`.
+
+    `on_response` is awaited between each append and its response; it may raise PlatformUnavailable.
+    """
+
+    def __init__(self, shared: OneLog, name: str) -> None:
+        self._shared = shared
+        self._name = name
+        self.on_response: Callable[[Stream, Writer | None], Awaitable[None]] | None = None
+
+    async def newest(self, stream, attempt=None):
+        await self._send()
+        records = self._shared.partition(stream).records
+        newest = {item.key: item for item in records}
+        return CompactedPage(tuple(newest.values()), len(records), len(records))
+
+    async def read(self, stream, first, wait, attempt=None):
+        await self._send()
+        records = self._shared.partition(stream).records
+        waited = 0
+        while len(records) <= first and waited < wait:
+            await asyncio.sleep(0.005)
+            waited += 5
+        return CompactedPage(tuple(records[first:]), len(records), len(records))
+
+    async def append(self, stream, records, *, at=None, writer=None):
+        await self._send()
+        end = self._shared.append(self._name, stream, tuple(records), at, writer)
+        if self.on_response is not None:
+            await self.on_response(stream, writer)
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+        return end
+
+    async def _send(self) -> None:
+        await asyncio.sleep(MESSAGE_MS / 1_000)
+
+
+class Voter:
+    """The leader election of one daemon, which follows the state stream while `follows` is set."""
+
+    def __init__(self, shared: OneLog, vm: str) -> None:
+        self.clock = NodeClock()
+        self.log = OneLogClient(shared, vm)
+        self.next_offset = 0
+        self.follows = True
+        self.leadership = Leadership(
+            Term(0, vm, f"run-of-{vm}", "127.0.0.1:1"),
+            self.log,
+            self.clock,
+            random.Random(vm),
+            lambda: True,
+            lambda: self.next_offset,
+            lambda: None,
+        )
+        self.ownership_cache = OwnershipCache(self.leadership, self.clock)
+        self.tasks = [
+            asyncio.create_task(self.leadership.run()),
+            asyncio.create_task(self._follow()),
+        ]
+
+    async def _follow(self) -> None:
+        while True:
+            page = await self.log.read(STATE_STREAM, self.next_offset, 100)
+            while not self.follows:
+                await asyncio.sleep(0.005)
+            for record in page.records:
+                self.ownership_cache.apply_record(record, ReadContext())
+            self.next_offset = page.next
+
+    async def wait_leading(self) -> None:
+        async with asyncio.timeout(10):
+            while not self.leadership.has_valid_lease():
+                await asyncio.sleep(0.005)
+
+
+async def _watch_leases(former: Voter, successor: Voter) -> None:
+    """Wait for the successor's win, and fail if the former lease outlasts the bound after it.
+
+    The bound is the one from which the successor counts the former leader's last grants.
+    """
+    await successor.wait_leading()
+    end = successor.leadership.won_at + LEASE_DURATION_MS
+    while successor.clock.now() < end + 8_000:
+        if successor.clock.now() >= end:
+            assert not former.leadership.has_valid_lease()
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("repeats_first", [True, False], ids=["repeats-first", "epoch-first"])
+class TestRepeatedAppends:
+    """A leader sends an append again after another one has begun its term."""
+
+    async def _freeze(self, voter: Voter, duration: int) -> None:
+        """Let the daemon stand still, with the response that it waits for lost."""
+        voter.follows = False
+        await asyncio.sleep(duration / 1_000)
+        raise PlatformUnavailable("connection closed")
+
+    @pytest.mark.parametrize("away", [2_600, 3_600, 4_600, 4_800, 5_000, 5_200])
+    def test_lease_counts_from_the_first_send_when_the_daemon_stands_still(
+        self, repeats_first: bool, away: int
+    ):
+        async def run():
+            shared = OneLog(repeats_first)
+            former = Voter(shared, "vm-1")
+            await former.wait_leading()
+            successor = Voter(shared, "vm-2")
+            await asyncio.sleep(1)
+
+            async def freeze_once(stream, writer):
+                if stream == LEASE_STREAM:
+                    former.log.on_response = None
+                    await self._freeze(former, away)
+
+            former.log.on_response = freeze_once
+            await _watch_leases(former, successor)
+
+        run_virtual(run())
+
+    @pytest.mark.parametrize("lost_for", [2_000, 3_000, 3_500, 4_000, 5_000])
+    def test_lease_counts_from_the_first_send_when_responses_are_lost(
+        self, repeats_first: bool, lost_for: int
+    ):
+        async def run():
+            shared = OneLog(repeats_first)
+            former = Voter(shared, "vm-1")
+            await former.wait_leading()
+            successor = Voter(shared, "vm-2")
+            await asyncio.sleep(1)
+            former.follows = False
+            end = former.clock.now() + lost_for
+
+            async def lose(stream, writer):
+                if stream == LEASE_STREAM and former.clock.now() < end:
+                    await asyncio.sleep(1)
+                    raise PlatformUnavailable("no response")
+
+            former.log.on_response = lose
+            successor_leads = asyncio.create_task(_watch_leases(former, successor))
+            await asyncio.sleep(0.3)
+            successor.leadership.record_heartbeat(1, True)
+            await asyncio.sleep(0.4)
+            successor.leadership.record_heartbeat(1, True)
+            await successor_leads
+
+        run_virtual(run())
+
+    @pytest.mark.parametrize("away", [2_600, 3_600, 4_600, 5_000])
+    @pytest.mark.parametrize("is_fence", [False, True])
+    def test_claim_or_fence_that_is_repeated_gives_no_lease(
+        self, repeats_first: bool, is_fence: bool, away: int
+    ):
+        """A lease needs a renewal, which is fenced."""
+
+        async def run():
+            shared = OneLog(repeats_first)
+            former = Voter(shared, "vm-1")
+
+            async def freeze_once(stream, writer):
+                if stream == STATE_STREAM and (writer is not None) == is_fence:
+                    former.log.on_response = None
+                    await self._freeze(former, away)
+
+            former.log.on_response = freeze_once
+            await asyncio.sleep(0.2)
+            successor = Voter(shared, "vm-2")
+            await _watch_leases(former, successor)
+
+        run_virtual(run())
+
+
+class TestFenceOfAnEndedTerm:
+    """Another daemon's term begins while a daemon waits for the response to its fence."""
+
+    def test_no_renewal_is_written_under_the_other_daemons_term(self):
+        async def run():
+            shared = OneLog(repeats_first=True)
+            former = Voter(shared, "vm-1")
+            resumed = asyncio.Event()
+
+            async def hold_fence(stream, writer):
+                if stream == STATE_STREAM and writer is not None:
+                    former.log.on_response = None
+                    await resumed.wait()
+
+            former.log.on_response = hold_fence
+            await asyncio.sleep(0.3)
+            assert former.leadership.holds_term
+            claim = Term(2, "vm-2", "run-of-vm-2", "127.0.0.1:1")
+            end = len(shared.partition(STATE_STREAM).records)
+            shared.append("vm-2", STATE_STREAM, (("term", claim.encode()),), end, None)
+            await asyncio.sleep(0.3)
+            resumed.set()
+            await asyncio.sleep(2)
+            for task in former.tasks:
+                task.cancel()
+            renewals = [item for item in shared.appends if item.stream == LEASE_STREAM]
+            assert not [item for item in renewals if item.writer.epoch == 2]
+
+        run_virtual(run())
