Test grants of a suspended daemon, and grants without a response

A grant whose connection opens after a suspension is sent however late it is; the connection of one that times out is closed, so that the kernel may go on sending it.

--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -21,16 +21,24 @@
 )
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
-from fuchsiatrack.kernel.clock import Clock
+from fuchsiatrack.gateway.connectionpool import ConnectionPool
+from fuchsiatrack.gateway.responsememory import ResponseMemory
+from fuchsiatrack.kernel.clock import Clock, SystemClock
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
+from fuchsiatrack.kernel.metrics import NullMetrics
+from fuchsiatrack.kernel.trafficcounter import TrafficCounter
 from fuchsiatrack.limits.registry import LimitRegistry
+from fuchsiatrack.platform.grantclient import HttpRangeGrantClient
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import (
     GrantRefused,
     NotDelivered,
+    OutcomeUnknown,
+    RangeGrant,
     RangeGrantClient,
     WrongServer,
 )
+from fuchsiatrack.ranges.grantrenewer import GRANT_TIMEOUT_MS
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache
@@ -781,3 +789,124 @@
             assert not [item for item in renewals if item.writer.epoch == 2]
 
         run_virtual(run())
+
+
+def _grant_client(pool: ConnectionPool, clock: Clock) -> HttpRangeGrantClient:
+    return HttpRangeGrantClient(pool, TrafficCounter(NullMetrics(), "a"))
+
+
+class JumpingClock(SystemClock):
+    """The clock of this machine, which the test puts forward."""
+
+    offset = 0
+
+    def now(self) -> int:
+        return super().now() + self.offset
+
+
+class SuspendedPool(ConnectionPool):
+    """A pool of a daemon that is suspended while a connection is opened.
+
+    The clock advances by `suspension` meanwhile, but the timers of asyncio do not.
+    """
+
+    def __init__(self, clock: JumpingClock) -> None:
+        super().__init__(clock, ResponseMemory())
+        self._jumping = clock
+        self.suspension = 0
+
+    async def acquire(self, *args, **options):
+        connection = await super().acquire(*args, **options)
+        self._jumping.offset += self.suspension
+        return connection
+
+
+class GrantListener:
+    """A server that records grants, and responds to them while `responds` is set."""
+
+    def __init__(self) -> None:
+        self.received: list[bytes] = []
+        self.responds = True
+        # How connections ended: by a reset, or else by a close.
+        self.resets: list[bool] = []
+        self.ended = asyncio.Event()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> ServerEntry:
+        """Listen, and return the entry of the server."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return _entry(INCARNATIONS[0], address=f"{host}:{port}")
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(head.partition(b"Content-Length: ")[2].split()[0]))
+                self.received.append(head)
+                if self.responds:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        except ConnectionResetError:
+            self.resets.append(True)
+        except asyncio.IncompleteReadError:
+            self.resets.append(False)
+        finally:
+            self.ended.set()
+            writer.close()
+
+
+@pytest.fixture
+async def listener():
+    running = GrantListener()
+    yield running
+    running.close()
+
+
+class TestGrantsOfASuspendedDaemon:
+    """A daemon is suspended between its decision to grant keys and the sending of the grant."""
+
+    async def _grant(self, listener: GrantListener, suspension: int) -> Exception | None:
+        entry, clock = await listener.start(), JumpingClock()
+        pool = SuspendedPool(clock)
+        pool.suspension = suspension
+        client = _grant_client(pool, clock)
+        error = None
+        try:
+            await client.grant(entry, RangeGrant(0, 9, 1, 4_000, ""), GRANT_TIMEOUT_MS)
+        except (NotDelivered, OutcomeUnknown) as raised:
+            error = raised
+        await asyncio.sleep(0.1)
+        pool.close()
+        return error
+
+    @pytest.mark.parametrize("suspension", [GRANT_TIMEOUT_MS + 1, 5_000])
+    async def test_grant_is_not_sent_after_its_time(self, listener: GrantListener, suspension: int):
+        """The lease may have ended, and the recorded expiry counts from the end of its time."""
+        error = await self._grant(listener, suspension)
+        assert not listener.received
+        assert error is not None
+
+    async def test_grant_is_sent_in_time(self, listener: GrantListener):
+        """Guards against a client that sends nothing after any delay."""
+        assert await self._grant(listener, 10) is None
+        assert len(listener.received) == 1
+
+
+class TestGrantsWithoutAResponse:
+    """A grant times out; nothing of its connection may reach the server later."""
+
+    async def test_connection_is_reset(self, listener: GrantListener):
+        """After an orderly close the kernel goes on sending what a cut holds up."""
+        entry, clock = await listener.start(), JumpingClock()
+        listener.responds = False
+        pool = ConnectionPool(clock, ResponseMemory())
+        client = _grant_client(pool, clock)
+        with pytest.raises(OutcomeUnknown):
+            await client.grant(entry, RangeGrant(0, 9, 1, 4_000, ""), 200)
+        async with asyncio.timeout(5):
+            await listener.ended.wait()
+        pool.close()
+        assert listener.resets == [True]
