Test terms without a controller, and a map that can't be read

A leader whose term had no controller for a service reports that no extended grants remain, also those that it inherited: eight tests fail on. A map that can't be decoded counts as none, and keys are assigned under fence 1 while a server holds them under a higher one: two fail.

--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import random
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -22,12 +23,17 @@
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
+from fuchsiatrack.gateway.rangeservice import RangeService
 from fuchsiatrack.gateway.responsememory import ResponseMemory
+from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
+from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings
 from fuchsiatrack.kernel.clock import Clock, SystemClock
 from fuchsiatrack.kernel.errors import AppendRefused, PlatformUnavailable
 from fuchsiatrack.kernel.metrics import NullMetrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter
 from fuchsiatrack.limits.registry import LimitRegistry
+from fuchsiatrack.limits.retryratio import RetryBudgetSettings
+from fuchsiatrack.peers.loadreports import LoadReport, TermEndNotice
 from fuchsiatrack.platform.grantclient import HttpRangeGrantClient
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import (
@@ -38,13 +44,14 @@
     RangeGrantClient,
     WrongServer,
 )
-from fuchsiatrack.ranges.grantrenewer import GRANT_TIMEOUT_MS
+from fuchsiatrack.ranges.grantrenewer import EXTENDED_GRANT_DURATION_MS, GRANT_TIMEOUT_MS
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
-from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
-from fuchsiatrack.ranges.ownershipcache import OwnershipCache
+from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap, divide_evenly
+from fuchsiatrack.ranges.ownershipcache import OwnershipCache, map_key
 from fuchsiatrack.ranges.planner import BalancedPlanner
-from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM, Term
+from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM, TERM_KEY, Term
 from tests.fakes import NodeClock, run_virtual
+from tests.fleet import free_port
 from tests.test_ranges import FakeLeadership, SavedMaps
 
 SERVICE = "stock"
@@ -910,3 +917,172 @@
             await listener.ended.wait()
         pool.close()
         assert listener.resets == [True]
+
+
+FORMER_TERM = Term(1, "vm-9", "run-of-vm-9", "127.0.0.1:1")
+
+
+def _put(shared: OneLog, key: str, value: bytes) -> None:
+    """Append a record to the state stream as the former leader."""
+    shared.append("vm-9", STATE_STREAM, ((key, value),), None, None)
+
+
+class Leader:
+    """The range service of one daemon on a log that it finds, with the servers of a site."""
+
+    def __init__(
+        self, shared: OneLog, clock: Clock, servers: Servers, keyed_services: tuple[str, ...]
+    ) -> None:
+        self.clock = clock
+        self.port = free_port(socket.SOCK_DGRAM)
+        self.directory = ServerDirectory(clock, DepartureBudget(2_000, 3_000))
+        for incarnation in INCARNATIONS:
+            self.directory.put(_entry(incarnation), ReadContext())
+        budget = RetryBudgetSettings(ratio=0.2, fixed=50.0, window=10_000)
+        unused = Endpoint("127.0.0.1", 1)
+        settings = GatewaySettings(
+            "vm-1", "a", unused, unused, Endpoint("127.0.0.1", self.port), unused, 1,
+            2_000, 3_000, MAX_GRANT_MS, 6_000, budget,
+        )  # fmt: skip
+        self.service = RangeService(
+            settings,
+            "run-of-vm-1",
+            OneLogClient(shared, "vm-1"),
+            ServersClient(servers),
+            self.directory,
+            ServerStatsRegistry(clock),
+            clock,
+            random.Random(1),
+            lambda: True,
+            lambda: keyed_services,
+            {},
+            TrafficCounter(NullMetrics(), "a"),
+            LimitRegistry(lambda server: True),
+            lambda: budget,
+        )
+        self._tasks = [asyncio.create_task(job) for job in self.service.jobs()]
+
+    async def wait_leading(self) -> None:
+        """Wait until this daemon leads and had the time to start its controllers."""
+        async with asyncio.timeout(10):
+            while not self.service.leadership.has_valid_lease():
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+
+    def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self.service.close()
+
+
+# Former terms as the log has them, and for how long their extended grants may last after this
+# daemon's start or, without a resignation, after its win.
+FORMER_TERMS = pytest.mark.parametrize(
+    ("former", "remaining"),
+    [
+        (dataclasses.replace(FORMER_TERM, resigned=True, long_for=6_000), 6_000),
+        (FORMER_TERM, LEASE_DURATION_MS + EXTENDED_GRANT_DURATION_MS),
+    ],
+    ids=["resigned", "lost"],
+)
+
+
+@pytest.mark.parametrize("keyed_services", [(), ("other",)], ids=["none", "other"])
+class TestTermWithoutAController:
+    """A term in which a service with a map has no controller, as before its configuration."""
+
+    def _create_log(self, former: Term) -> OneLog:
+        shared = OneLog(repeats_first=True)
+        ownership = divide_evenly(INCARNATIONS, 402).with_revision(7)
+        _put(shared, map_key(SERVICE), ownership.encode())
+        _put(shared, TERM_KEY, former.encode())
+        return shared
+
+    @FORMER_TERMS
+    def test_resignation_reports_what_the_term_inherited(
+        self, former: Term, remaining: int, keyed_services: tuple[str, ...]
+    ):
+        async def run():
+            shared = self._create_log(former)
+            clock = NodeClock()
+            started_at = clock.now()
+            leader = Leader(shared, clock, Servers(clock), keyed_services)
+            await leader.wait_leading()
+            won_at = leader.service.leadership.won_at
+            await leader.service.resign()
+            records = shared.partition(STATE_STREAM).records
+            resigned = Term.decode([item for item in records if item.key == TERM_KEY][-1].value)
+            leader.close()
+            assert resigned.resigned and resigned.number == 2
+            since = started_at if former.resigned else won_at
+            assert resigned.long_for >= remaining - (clock.now() - since)
+
+        run_virtual(run())
+
+    @FORMER_TERMS
+    async def test_notice_of_a_replaced_leader_reports_what_the_term_inherited(
+        self, former: Term, remaining: int, keyed_services: tuple[str, ...]
+    ):
+        clock = SystemClock()
+        started_at = clock.now()
+        leader = Leader(self._create_log(former), clock, Servers(clock), keyed_services)
+        await leader.service.start()
+        await leader.wait_leading()
+        won_at = leader.service.leadership.won_at
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.setblocking(False)
+            peer.connect(("127.0.0.1", leader.port))
+            await loop.sock_sendall(peer, LoadReport("vm-2", "run-of-vm-2", 3).encode())
+            async with asyncio.timeout(5):
+                notice = TermEndNotice.decode(await loop.sock_recv(peer, 60_000))
+        received_at = clock.now()
+        leader.close()
+        assert notice.term == 2
+        since = started_at if former.resigned else won_at
+        assert notice.extended_grants_remaining >= remaining - (received_at - since)
+
+
+class TestUnreadableMap:
+    """The map on the log can't be decoded, while servers hold keys by it."""
+
+    @pytest.mark.parametrize(
+        "value",
+        [b"nonsense", b'{"fence":402,"revision":7,"ranges":[[0,65535,"s0"]]}'],
+        ids=["nonsense", "other-format"],
+    )
+    def test_keys_are_not_assigned_as_if_for_the_first_time(self, value: bytes):
+        async def run():
+            shared = OneLog(repeats_first=True)
+            _put(shared, map_key(SERVICE), value)
+            _put(shared, TERM_KEY, dataclasses.replace(FORMER_TERM, resigned=True).encode())
+            clock = NodeClock()
+            servers = Servers(clock)
+            for incarnation in INCARNATIONS:
+                servers.start(_address(incarnation.server), incarnation)
+            assert servers.grant(_address("s0"), 0, LAST_KEY, 402, 4_000)
+            leader = Leader(shared, clock, servers, (SERVICE,))
+            await leader.wait_leading()
+            await asyncio.sleep(12)
+            leader.close()
+            assert not servers.overlaps
+            assert not servers.fence_faults
+
+        run_virtual(run())
+
+    def test_keys_without_a_map_are_assigned(self):
+        """Guards against a fix that assigns no keys at all."""
+
+        async def run():
+            shared = OneLog(repeats_first=True)
+            clock = NodeClock()
+            servers = Servers(clock)
+            for incarnation in INCARNATIONS:
+                servers.start(_address(incarnation.server), incarnation)
+            leader = Leader(shared, clock, servers, (SERVICE,))
+            await leader.wait_leading()
+            await asyncio.sleep(3)
+            assert all(len(servers.holders(key)) == 1 for key in SAMPLE_KEYS)
+            leader.close()
+
+        run_virtual(run())
