Assign no keys of a service whose ownership map can't be read

A map on the log that a daemon couldn't decode, as after an update of another build, counted as none: as the leader it assigned all keys as if for the first time, under fences from 1 on, while their owners held them.

The cache remembers which services have such a map, and no controller starts for them until one can be read. TestUnreadableMap (two maps) failed before and passes now.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -249,7 +249,7 @@
             self._controlled_term = term
             self.permit_channel.start_term()
         for service in self._keyed_services():
-            if service not in self._controller_tasks:
+            if service not in self._controller_tasks and self.ownership_cache.is_readable(service):
                 controller = self._create_controller(service)
                 self._controllers[service] = controller
                 self._controller_tasks[service] = asyncio.create_task(controller.run())
--- a/src/fuchsiatrack/ranges/ownershipcache.py
+++ b/src/fuchsiatrack/ranges/ownershipcache.py
@@ -29,6 +29,8 @@
         self._leadership = leadership
         self._clock = clock
         self._maps: dict[str, OwnershipMap] = {}
+        # Services whose latest map on the log can't be decoded.
+        self._unreadable: set[str] = set()
         self._moving_since: dict[str, dict[tuple[int, int], int]] = {}
         self.changed: Subject[str] = Subject()
 
@@ -41,6 +43,10 @@
         """Return the map of *service*, which is empty if no keys are assigned."""
         return self._maps.get(service, OwnershipMap())
 
+    def is_readable(self, service: str) -> bool:
+        """Return whether the latest map of *service* on the log is known, or there is none."""
+        return service not in self._unreadable
+
     def moving_since(self, service: str, item: OwnedRange) -> int:
         """Return when *item* was first seen moving, or the current time if it was not."""
         return self._moving_since.get(service, {}).get(
@@ -57,10 +63,14 @@
         if record.key == TERM_KEY:
             self._leadership.apply_term_record(record.value)
         elif record.key.startswith(MAP_PREFIX) and record.value is not None:
-            self.apply_map(record.key.removeprefix(MAP_PREFIX), record.value)
+            service = record.key.removeprefix(MAP_PREFIX)
+            if self.apply_map(service, record.value):
+                self._unreadable.discard(service)
+            else:
+                self._unreadable.add(service)
 
-    def apply_map(self, service: str, value: bytes) -> None:
-        """Update the map of *service* from the log or from the leader.
+    def apply_map(self, service: str, value: bytes) -> bool:
+        """Update the map of *service* from the log or from the leader; return whether it is valid.
 
         Older and malformed maps are ignored.
         """
@@ -68,9 +78,10 @@
             ownership = OwnershipMap.decode(value)
         except ValueError as error:
             log.error("malformed ownership map", extra={"service": service, "why": str(error)})
-            return
+            return False
         if ownership.revision >= self.find(service).revision:
             self._put(service, ownership)
+        return True
 
     def apply_change(self, service: str, change: OwnershipChange) -> bool:
         """Update the map of *service*; return whether it has at least the change's revision.
