Count the lease from the first send of a renewal, and renew only an own term

A leader that had been replaced could go on granting keys that its successor gave to other servers: a renewal that was sent again counted from its second send, and a store that answers repeats before it looks at the epoch answers it also after the term has ended. A daemon whose fence returned after another daemon's term had begun renewed under the other's number, so that the other's renewals could be answered as repeats.

The lease counts from the first send without a response; one that was surely not written doesn't count. The sequence numbers of two terms are apart. A claim and the fence at the start of a term were looked at: a claim is conditional, and what follows a repeated fence is a renewal that is itself fenced, so that they are safe (guards in TestRepeatedAppends, which passed before).

TestRepeatedAppends (lost responses 3,000 to 4,000 ms, a daemon that stands still 4.6 to 5.2 s) and TestFenceOfAnEndedTerm failed before and pass now.

--- a/src/fuchsiatrack/ranges/leadership.py
+++ b/src/fuchsiatrack/ranges/leadership.py
@@ -49,6 +49,9 @@
 # response at all, and leaves the rest of the lease for sending the extended grants.
 LEASE_AT_RISK_MS = 1_700
 
+# Keeps the sequence numbers of two terms apart, so that no append counts as the repeat of one of
+# another term.
+SEQUENCES_PER_TERM = 1_000_000
 log = logging.getLogger(__name__)
 
 
@@ -87,8 +90,9 @@
         self._leader_seen_at = clock.now()
         self._sequence = 0
         self._renewal_number = 0
-        # When the renewal with the latest number was first sent, None once it has a response.
-        self._renewal_first_sent_at: int | None = None
+        self._renewal_term = 0
+        # When the renewal with the latest number was first sent without a response.
+        self._unanswered_since: int | None = None
         self._state_lock = asyncio.Lock()
         self._term_changed = asyncio.Event()
         self._renewal_failing_since: int | None = None
@@ -318,7 +322,7 @@
     async def _begin_term(self) -> None:
         """Fence earlier leaders, read all that they have written, and renew the lease."""
         term = self._current.number
-        writer = Writer(WRITER_NAME, term, 0)
+        writer = Writer(WRITER_NAME, term, _first_sequence(term))
         try:
             end = await self._log_service.append(STATE_STREAM, (), writer=writer)
         except Fenced as error:
@@ -331,7 +335,8 @@
         while self._next_offset() < end and self._current.number == term:
             self._poll_now()
             await self._clock.sleep(READ_POLL_PERIOD_MS)
-        await self._renew()
+        if self.holds_term and self._current.number == term:
+            await self._renew()
 
     # Renewals
 
@@ -340,27 +345,33 @@
 
         The first renewal of a term also fences renewals of earlier terms.
         """
-        sent_at = self._clock.now()
-        if self._renewal_first_sent_at is None:
-            self._renewal_first_sent_at = sent_at
-        self._renewal_number += 1
-        writer = Writer(WRITER_NAME, self._current.number, self._renewal_number)
-        value = json.dumps({"term": writer.epoch, "renewal": self._renewal_number}).encode()
+        sent_at, term = self._clock.now(), self._current.number
+        if term != self._renewal_term:
+            self._renewal_term, self._renewal_number = term, _first_sequence(term)
+            self._unanswered_since = None
+        number = self._renewal_number + 1
+        writer = Writer(WRITER_NAME, term, number)
+        value = json.dumps({"term": term, "renewal": number}).encode()
         try:
             await self._log_service.append(LEASE_STREAM, [(LEASE_KEY, value)], writer=writer)
         except Fenced as error:
             self._end_term(str(error))
             return
         except (AppendRefused, PlatformUnavailable) as error:
-            # Reuse the number: it was not written, or the log returns the first result again.
-            self._renewal_number -= 1
+            if isinstance(error, PlatformUnavailable) and self._unanswered_since is None:
+                self._unanswered_since = sent_at
+            # The next one has the same number, since this one may have been written.
             self._record_renewal_failure(str(error))
             await self._clock.sleep(RENEWAL_RETRY_DELAY_MS)
             return
-        if self._renewal_first_sent_at < sent_at:
-            fields = {"term": writer.epoch, "first_sent_ms": sent_at - self._renewal_first_sent_at}
+        if self._current.number != term:
+            return
+        if self._unanswered_since is not None:
+            # The response may be the one to the first send, and the term may have ended since.
+            fields = {"term": term, "first_sent_ms": sent_at - self._unanswered_since}
             log.info("lease renewed by a repeated renewal", extra=fields)
-        self._renewal_first_sent_at = None
+            sent_at, self._unanswered_since = self._unanswered_since, None
+        self._renewal_number = number
         self._record_renewal(sent_at)
         await self._clock.sleep_until(sent_at + RENEWAL_PERIOD_MS)
 
@@ -368,7 +379,7 @@
         self._renewed_at = sent_at
         self._renewal_failing_since = None
         if self.holds_term and self.won_at < 0:
-            self._sequence = 0
+            self._sequence = _first_sequence(self._current.number)
             self.won_at = self._clock.now()
             log.info("term won", extra={"term": self._current.number})
 
