Let one ledger decide that keys are free

Two servers held the same keys. The cause is one class: keys counted as free on the word of something that is neither a release nor the end of every grant that may have been taken. - A server that restarts under its id takes the renewals that are meant for its former run. Once its entry showed the later start, has_ended freed the keys of the former run at once: two holders for up to 4.0 s. - Where an address was listed twice, the clocks of two servers decided which one had ended. - Grants were kept by the run of a server, so that those the later run had taken from the former one were not found. - The late notice of a former leader capped the new leader's own extended grants: 2.5 s too early.

GrantLedger keeps each grant that a server may have accepted, by the server's id and in all of its runs, from this leader and apart from it from earlier ones. Keys are free when the server has answered a release, in whatever run it is; when another server answers at the address that was sent to; or when all grants have expired. A release counts only for what arrived before it was sent, since the server may restart after it. No grant is sent while the ledger names another possible holder, whatever path led there. ServerDirectory.has_ended is gone.

A move to another run of the same server needs no release. Moves of keys that an earlier leader may still grant wait for its lease while their owner can be renewed, so that they stay served.

test_later_server_at_the_same_address_frees_the_keys asked for the fault (keys free on another entry's word). In its place are test_another_server_at_the_address_frees_the_keys, with the same 0.5 s, and test_later_entry_at_the_same_address_frees_no_keys. test_restart_of_a_server_frees_its_keys took the grants away by hand; now the new run holds them, at the same address and at another one, and the 0.6 s stay. TestGrantExpiryTracker is TestGrantLedger, with the same checks and a model of all grants beside it.

TestRestartUnderTheSameId, TestReusedAddress and TestLateNoticeOfTheFormerLeader failed before and pass now; 300 drawn sequences (test_ownership_sequences, 150 for each kind of store) as well.

--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -154,24 +154,6 @@
         """Return whether another server was found at the address of *entry*."""
         return self._address_conflicts.get(entry.incarnation) == entry.address
 
-    def has_ended(self, incarnation: ServerIncarnation) -> bool:
-        """Return whether *incarnation* has certainly ended.
-
-        It has when the server was restarted, or when a server started later has its address:
-        an address is reused only after its server has ended.
-        """
-        entry = self._entries.get(incarnation.server)
-        if entry is not None and entry.incarnation != incarnation:
-            return entry.incarnation.started_at > incarnation.started_at
-        known = entry or self.last_known(incarnation)
-        if known is None:
-            return False
-        same_address = (other for other in self._entries.values() if other.address == known.address)
-        return any(
-            other.id != incarnation.server and other.incarnation.started_at > incarnation.started_at
-            for other in same_address
-        )
-
     def accepts_requests(self, entry: ServerEntry) -> bool:
         """Return whether a request may be sent to the incarnation in *entry* now."""
         current = self._entries.get(entry.id)
@@ -202,6 +184,13 @@
         """Return the last entry of *incarnation*, which is no longer listed, or None."""
         return self._former_entries.get(incarnation)
 
+    def latest_entry(self, incarnation: ServerIncarnation) -> ServerEntry | None:
+        """Return the latest entry of *incarnation*, even if it is no longer listed."""
+        entry = self._entries.get(incarnation.server)
+        if entry is not None and entry.incarnation == incarnation:
+            return entry
+        return self.last_known(incarnation)
+
     def put(self, entry: ServerEntry, context: ReadContext) -> None:
         """Add or update the entry of a server."""
         if entry.incarnation in self._announced:
@@ -210,6 +199,8 @@
         self._update_departure(entry, old, context)
         if old == entry:
             return
+        if old is not None and old.incarnation != entry.incarnation:
+            self._keep_former(old)
         self._entries[entry.id] = entry
         self._update_service_index({entry.service} | ({old.service} if old else set()))
         log.info("server listed", extra={**_log_fields(entry), "known_before": old is not None})
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -9,11 +9,17 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
+from fuchsiatrack.directory.servers import ServerDirectory, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.limits.registry import LimitRegistry
-from fuchsiatrack.ranges.grantclient import NotDelivered, OutcomeUnknown, RangeGrantClient
-from fuchsiatrack.ranges.grantrenewer import GrantRenewer, OwnershipView
+from fuchsiatrack.ranges.grantclient import (
+    NotDelivered,
+    OutcomeUnknown,
+    RangeGrantClient,
+    WrongServer,
+)
+from fuchsiatrack.ranges.grantrenewer import GRANT_TIMEOUT_MS, GrantRenewer, OwnershipView
+from fuchsiatrack.ranges.inheritedgrants import InheritedGrants
 from fuchsiatrack.ranges.leadership import Leadership, NotLeading
 from fuchsiatrack.ranges.load import KeyLoad, ServiceTimes
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap, divide_evenly
@@ -49,17 +55,19 @@
     """Why the keys of a moving range count as free; the values are written to logs."""
 
     RELEASED = "released"
+    REPLACED = "another server at the address"
     EXPIRED = "expired"
-    OWNER_ENDED = "owner ended"
+    SAME_SERVER = "same server"
 
 
 @dataclasses.dataclass(frozen=True)
 class _Release:
-    """Why a range is free, and the handover of its owner, empty without a response of it.
+    """Why a range is free for `successor`, and the handover, empty without a response to a release.
 
-    `grants_remaining` is for how many milliseconds grants to the owner might have lasted.
+    `grants_remaining` is for how many milliseconds grants to its owner might have lasted.
     """
 
+    successor: ServerIncarnation
     reason: ReleaseReason
     grants_remaining: int
     handover: str = ""
@@ -70,7 +78,8 @@
 
     *ownership* is the latest map of the service on the log. *moving_since* returns when this
     daemon first saw that a range is moving, *save* appends a map to the log, and *limits* has the
-    limits that servers named.
+    limits that servers named. *inherited* bounds the grants of earlier leaders, by default those of
+    leaders whose leases may have been valid until now.
     Times are in milliseconds.
     """
 
@@ -87,6 +96,7 @@
         moving_since: Callable[[OwnedRange], int],
         save: Callable[[OwnershipMap], Awaitable[None]],
         limits: LimitRegistry,
+        inherited: InheritedGrants | None = None,
     ) -> None:
         self._service = service
         self._limits = limits
@@ -108,8 +118,9 @@
         self.key_load = KeyLoad(clock)
         self.service_times = ServiceTimes()
         self._renewer = GrantRenewer(
-            service, leadership, directory, grant_client, clock, max_grant_duration, self
+            service, leadership, directory, grant_client, clock, max_grant_duration, self, inherited
         )
+        self._ledger = self._renewer.ledger
         self._renewer.record_inherited_grants(moving_since)
 
     @property
@@ -128,9 +139,15 @@
         """See `GrantRenewer.extended_grants_remaining`."""
         return self._renewer.extended_grants_remaining
 
-    def cap_inherited_grants(self, extended_grants_remaining: int) -> None:
+    def apply_inherited_bounds(self) -> None:
+        """See `GrantRenewer.apply_inherited_bounds`."""
+        self._renewer.apply_inherited_bounds()
+
+    def cap_inherited_grants(
+        self, extended_grants_remaining: int, sending_remaining: int = 0
+    ) -> None:
         """See `GrantRenewer.cap_inherited_grants`."""
-        self._renewer.cap_inherited_grants(extended_grants_remaining)
+        self._renewer.cap_inherited_grants(extended_grants_remaining, sending_remaining)
 
     async def run(self) -> None:
         """Control the service until the term ends or the task is cancelled."""
@@ -230,7 +247,7 @@
             self._limits.rates,
             self._limits.recent_limits,
         )
-        moves = self._planner.plan(planner_input)
+        moves = tuple(filter(self._can_start, self._planner.plan(planner_input)))
         if not moves:
             return
         await self._update(lambda current: _apply_moves(current, moves))
@@ -244,6 +261,20 @@
             }
             log.info("move started", extra=fields)
 
+    def _can_start(self, move: PlannedMove) -> bool:
+        """Return whether *move* need not wait for the end of earlier leaders' leases.
+
+        Such a move would leave the keys without an owner meanwhile, so that they are renewed as
+        long as they can be.
+        """
+        latest = self._clock.now() + GRANT_TIMEOUT_MS
+        return not any(
+            self._renewer.can_renew(item.owner)
+            and self._ledger.settled_at(item.owner.server, item.first, item.last) > latest
+            for item in self._map.ranges
+            if item.overlaps(move.first, move.last) and not item.is_moving
+        )
+
     async def _merge_ranges(self) -> None:
         before = len(self._map.ranges)
         await self._update(OwnershipMap.merge_neighbours)
@@ -299,18 +330,20 @@
         if release is None:
             return
         try:
-            await self._update(lambda current: _finish_move(current, item, release.handover))
+            await self._update(lambda current: _finish_move(current, item, release))
         except NotLeading as error:
             log.info("move left to the next leader", extra={"first": item.first, "why": str(error)})
             return
         finished = self._map.find(item.first)
+        if finished is None or finished.owner != release.successor:
+            return
         fields = {
             "service": self._service,
             "first": item.first,
             "last": item.last,
             "from": item.owner.server,
             "from_born": item.owner.started_at,
-            "to": finished.owner.server if finished else "",
+            "to": finished.owner.server,
             "fence": item.next_fence,
             "freed_by": release.reason.value,
             "grants_remaining_ms": release.grants_remaining,
@@ -319,49 +352,59 @@
         }
         log.info("move finished", extra=fields)
         self._renewer.update_renewal_tasks()
-        if finished:
-            self._renewer.renew_now(finished.owner)
+        self._renewer.renew_now(finished.owner)
 
     async def _release_from_owner(self, item: OwnedRange) -> _Release | None:
-        """Wait until the owner of *item* certainly no longer serves it.
+        """Wait until no server but the successor of *item* can hold its keys.
 
         Return None if the term ends first.
         """
+        owner, remaining = item.owner.server, 0
+        reason, handover = ReleaseReason.EXPIRED, ""
         while self._leadership.holds_term:
-            expires_at = self._renewer.expiries.expires_at(item.owner, item.first, item.last)
-            remaining = max(0, expires_at - self._clock.now())
-            if self._directory.has_ended(item.owner):
-                return _Release(ReleaseReason.OWNER_ENDED, remaining)
-            if not remaining:
-                return _Release(ReleaseReason.EXPIRED, remaining)
-            token = await self._try_release(item)
-            if token is not None:
-                return _Release(ReleaseReason.RELEASED, remaining, token)
-            await self._clock.sleep(RETRY_DELAY_MS)
+            moving = self._map.find(item.first) or item
+            successor = moving.successor or item.owner
+            now = self._clock.now()
+            if self._ledger.free_at(item.first, item.last, successor.server) <= now:
+                if self._ledger.holders(item.first, item.last):
+                    reason = ReleaseReason.SAME_SERVER
+                return _Release(successor, reason, remaining, handover)
+            remaining = self._ledger.free_at(item.first, item.last, successor.server) - now
+            settled_in = self._ledger.settled_at(owner, item.first, item.last) - now
+            if settled_in > 0:
+                await self._clock.sleep(min(settled_in, RETRY_DELAY_MS))
+                continue
+            reason, handover = await self._try_release(item)
+            if self._ledger.holders(item.first, item.last).keys() - {successor.server}:
+                reason = ReleaseReason.EXPIRED
+                await self._clock.sleep(RETRY_DELAY_MS)
         return None
 
-    def _latest_entry(self, incarnation: ServerIncarnation) -> ServerEntry | None:
-        """Return the latest entry of *incarnation*, even if it is no longer listed."""
-        entry = self._directory.find(incarnation.server)
-        if entry is not None and entry.incarnation == incarnation:
-            return entry
-        return self._directory.last_known(incarnation)
+    async def _try_release(self, item: OwnedRange) -> tuple[ReleaseReason, str]:
+        """Ask the owner of *item* to release it, in whatever run it is.
 
-    async def _try_release(self, item: OwnedRange) -> str | None:
-        server = self._latest_entry(item.owner)
+        Return why its keys are free, as far as the ledger agrees, and the handover.
+        """
+        failed = ReleaseReason.EXPIRED, ""
+        server = self._directory.find(item.owner.server) or self._directory.latest_entry(item.owner)
         if server is None or not self._leadership.has_valid_lease():
-            return None
+            return failed
+        sent_at = self._clock.now()
         try:
             token = await self._grant_client.release(
                 server, item.first, item.last, item.next_fence, RELEASE_TIMEOUT_MS
             )
+        except WrongServer as error:
+            log.info("owner has ended", extra={"server": server.id, "why": str(error)})
+            self._ledger.record_absence(server.id, server.address, item.first, item.last, sent_at)
+            return ReleaseReason.REPLACED, ""
         except (OutcomeUnknown, NotDelivered) as error:
-            fields = {"server": item.owner.server, "first": item.first, "why": str(error)}
+            fields = {"server": server.id, "first": item.first, "why": str(error)}
             log.info("release failed", extra=fields)
-            return None
-        self._renewer.expiries.record_release(item.owner, item.first, item.last)
-        self._renewer.record_reachable(item.owner)
-        return token
+            return failed
+        self._ledger.record_release(server.id, item.first, item.last, sent_at)
+        self._renewer.record_reachable(server.incarnation)
+        return ReleaseReason.RELEASED, token
 
 
 def _apply_moves(current: OwnershipMap, moves: tuple[PlannedMove, ...]) -> OwnershipMap:
@@ -374,9 +417,11 @@
     return current
 
 
-def _finish_move(current: OwnershipMap, released: OwnedRange, handover: str) -> OwnershipMap:
-    """Finish the move of *released*, whose successor may have changed in the meantime."""
+def _finish_move(current: OwnershipMap, released: OwnedRange, release: _Release) -> OwnershipMap:
+    """Finish the move of *released*, unless its successor has changed since it was free."""
     item = current.find(released.first)
     if item is None or not item.is_moving or item.next_fence != released.next_fence:
         return current
-    return current.finish_move(item, handover)
+    if item.successor != release.successor:
+        return current
+    return current.finish_move(item, release.handover)
--- a/src/fuchsiatrack/ranges/grantrenewer.py
+++ b/src/fuchsiatrack/ranges/grantrenewer.py
@@ -1,4 +1,4 @@
-"""Renewal of the grants of a service, and tracking of their expiry."""
+"""Renewal of the grants of a service."""
 
 from __future__ import annotations
 
@@ -18,9 +18,11 @@
     RangeGrant,
     RangeGrantClient,
 )
-from fuchsiatrack.ranges.grantexpiry import GrantExpiryTracker, longest_duration
+from fuchsiatrack.ranges.grantledger import GrantLedger, KeysNotFree, longest_duration
+from fuchsiatrack.ranges.inheritedgrants import GrantTimings, InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
+from fuchsiatrack.ranges.records import EndedTerm
 
 # Outlasts the loss of a leader including the takeover, and bounds how long the keys of a lost
 # server are unavailable.
@@ -68,10 +70,20 @@
         """Give *item* a greater fence under the same owner."""
 
 
+def grant_timings(max_grant_duration: int) -> GrantTimings:
+    """Return how leaders send grants to servers that accept them up to *max_grant_duration*."""
+    return GrantTimings(
+        LEASE_DURATION_MS,
+        GRANT_TIMEOUT_MS,
+        GRANT_DURATION_MS,
+        min(max_grant_duration, EXTENDED_GRANT_DURATION_MS),
+    )
+
+
 class GrantRenewer:
     """Renews the grants of a service, with one task for each server; times are in milliseconds.
 
-    `expiries` tracks until when grants of this leader and of earlier leaders may be valid.
+    `ledger` has the grants of this leader and of earlier leaders, which *inherited* bounds.
     """
 
     def __init__(
@@ -83,14 +95,18 @@
         clock: Clock,
         max_grant_duration: int,
         view: OwnershipView,
+        inherited: InheritedGrants | None = None,
     ) -> None:
         self._service = service
         self._leadership = leadership
         self._directory = directory
         self._grant_client = grant_client
         self._clock = clock
-        self._extended_duration = min(max_grant_duration, EXTENDED_GRANT_DURATION_MS)
+        timings = grant_timings(max_grant_duration)
+        self._extended_duration = timings.extended
+        # Of the extended grants of this leader alone.
         self._extended_until = clock.now()
+        self._inherited = inherited or InheritedGrants(clock, timings)
         self._view = view
         self._renewal_tasks: dict[ServerIncarnation, asyncio.Task] = {}
         self._wake_events: dict[ServerIncarnation, asyncio.Event] = {}
@@ -98,23 +114,28 @@
         self._unreachable: set[ServerIncarnation] = set()
         self._probe_tasks: dict[ServerIncarnation, asyncio.Task] = {}
         self._was_at_risk = False
-        self.expiries = GrantExpiryTracker(clock)
+        self.ledger = GrantLedger(clock)
 
     def record_inherited_grants(self, moving_since: Callable[[OwnedRange], int]) -> None:
         """Record the grants that earlier leaders may have sent, or may send until their leases end.
 
         *moving_since* returns when this daemon first saw that a range is moving.
         """
-        latest = self._clock.now() + LEASE_DURATION_MS + GRANT_TIMEOUT_MS
         for item in self._view.current.ranges:
             # A leader stops renewing a range before it writes the start of its move to the log.
             moving_latest = moving_since(item) + LEASE_DURATION_MS + GRANT_TIMEOUT_MS
-            latest_arrival = min(latest, moving_latest) if item.is_moving else latest
-            self.expiries.record_grant(
-                item.owner, item.first, item.last, latest_arrival, self._extended_duration
+            inherited_latest = self._inherited.arrive_by
+            arrive_by = min(inherited_latest, moving_latest) if item.is_moving else inherited_latest
+            entry = self._directory.latest_entry(item.owner)
+            self.ledger.record_inherited(
+                item.owner.server,
+                entry.address if entry else "",
+                item.first,
+                item.last,
+                arrive_by,
+                self._extended_duration,
             )
-        if self._view.current.ranges:
-            self._extended_until = latest + longest_duration(self._extended_duration)
+        self.apply_inherited_bounds()
 
     @property
     def extended_grants_remaining(self) -> int:
@@ -122,19 +143,27 @@
 
         Includes the extended grants of earlier leaders.
         """
-        return max(0, self._extended_until - self._clock.now())
+        return max(0, self._extended_until - self._clock.now(), self._inherited.valid_remaining)
 
-    def cap_inherited_grants(self, extended_grants_remaining: int) -> None:
-        """Cap the expiry of all grants recorded so far; the previous leader has stopped granting.
+    def cap_inherited_grants(
+        self, extended_grants_remaining: int, sending_remaining: int = 0
+    ) -> None:
+        """Cap the grants of earlier leaders; the previous leader has stopped granting.
 
-        *extended_grants_remaining* is the value that it reported for its own extended grants. The
-        cap allows for these and for all grants of the usual duration, but not for extended grants
-        that this leader has already sent; `docs/DESIGN.md` ("Left") names this gap.
+        *extended_grants_remaining* is the value that it reported, and *sending_remaining* for how
+        long leaders before it may still send grants.
         """
-        usual_grants_remaining = GRANT_TIMEOUT_MS + longest_duration(GRANT_DURATION_MS)
-        latest = self._clock.now() + max(extended_grants_remaining, usual_grants_remaining)
-        self.expiries.cap_expiry(latest)
-        self._extended_until = min(self._extended_until, latest)
+        now = self._clock.now()
+        self._inherited.cap(EndedTerm(0, now + sending_remaining, now + extended_grants_remaining))
+        self.apply_inherited_bounds()
+
+    def apply_inherited_bounds(self) -> None:
+        """Apply what is known of earlier leaders to the recorded grants."""
+        self.ledger.cap_inherited(self._inherited.arrive_by, self._inherited.valid_until)
+
+    def can_renew(self, incarnation: ServerIncarnation) -> bool:
+        """Return whether grants can be sent to *incarnation*: it is listed and reachable."""
+        return self._find_entry(incarnation) is not None and self.is_reachable(incarnation)
 
     def is_reachable(self, incarnation: ServerIncarnation) -> bool:
         """Return whether *incarnation* is reachable; servers are until their grants fail."""
@@ -242,6 +271,8 @@
                 return False
             except GrantRefused as error:
                 await self._raise_fence(item, str(error))
+            except KeysNotFree as error:
+                log.error("grant withheld", extra={"server": entry.id, "why": str(error)})
         return True
 
     def _renewable_ranges(self, incarnation: ServerIncarnation) -> list[OwnedRange]:
@@ -268,16 +299,24 @@
 
     async def _grant(self, entry: ServerEntry, item: OwnedRange, duration: int) -> None:
         grant = RangeGrant(item.first, item.last, item.fence, duration, item.handover)
-        latest = self._clock.now() + GRANT_TIMEOUT_MS
         # Recorded before the request, since the task may be cancelled while it is in flight.
-        before = self.expiries.record_grant(
-            entry.incarnation, item.first, item.last, latest, duration
+        possible = self.ledger.record_grant(
+            entry.id,
+            entry.address,
+            item.first,
+            item.last,
+            self._clock.now() + GRANT_TIMEOUT_MS,
+            duration,
         )
         try:
             await self._grant_client.grant(entry, grant, GRANT_TIMEOUT_MS)
         except NotDelivered:
-            self.expiries.undo_record(entry.incarnation, before)
+            self.ledger.withdraw(possible, item.first, item.last)
+            raise
+        except GrantRefused:
+            self.ledger.record_response(possible, item.first, item.last)
             raise
+        self.ledger.record_response(possible, item.first, item.last)
         self.record_reachable(entry.incarnation)
 
     async def _raise_fence(self, item: OwnedRange, reason: str) -> None:
--- a/src/fuchsiatrack/ranges/records.py
+++ b/src/fuchsiatrack/ranges/records.py
@@ -16,6 +16,8 @@
 TERM_KEY = "term"
 LEASE_KEY = "lease"
 WRITER_NAME = "leader"
+# Assumed where a record or notice doesn't state it; longer than any lease.
+UNKNOWN_SENDING_MS = 60_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,7 +25,8 @@
     """The term of one leader; `report_address` is where it receives load reports.
 
     Terms are numbered from 1; term 0 has no leader. A leader that has `resigned` sends no more
-    grants, and its extended grants may last for another `long_for` milliseconds.
+    grants, and its extended grants may last for another `long_for` milliseconds; leaders before it
+    may send grants for another `sending_for` milliseconds.
     """
 
     number: int = 0
@@ -32,6 +35,7 @@
     report_address: str = ""
     resigned: bool = False
     long_for: int = 0
+    sending_for: int = 0
 
     def encode(self) -> bytes:
         """Return the term as JSON."""
@@ -48,4 +52,18 @@
             field(body, "report_address", str),
             field(body, "resigned", bool),
             natural(body, "long_for"),
+            natural(body, "sending_for") if "sending_for" in body else UNKNOWN_SENDING_MS,
         )
+
+
+@dataclasses.dataclass(frozen=True)
+class EndedTerm:
+    """The end of term `number`, whose leader sends no more grants; times are in milliseconds.
+
+    Leaders before it may send grants until `sends_until`, and extended grants, its own included,
+    may be valid until `valid_until`.
+    """
+
+    number: int = 0
+    sends_until: int = 0
+    valid_until: int = 0
