Pass on what is known of earlier leaders' grants when a term ends

A leader whose term had no controller for a service reported that no extended grants remained, also those that it had inherited, and its successor gave keys to other servers while they were still held. A term that was resigned before any controller started reported what was left of an older one.

What earlier leaders may have granted belongs to the term now, not to its controllers, and each end of a term states both until when earlier leaders may send and until when their grants are valid (sending_for beside long_for, in the record and in the notice). Where a daemon of an older build doesn't state it, nothing is assumed.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -35,12 +35,14 @@
 from fuchsiatrack.peers.ownershipupdates import OwnershipChangeNotice, OwnershipUpdate
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import RangeGrantClient
+from fuchsiatrack.ranges.grantrenewer import grant_timings
+from fuchsiatrack.ranges.inheritedgrants import InheritedGrants
 from fuchsiatrack.ranges.leadership import Leadership
 from fuchsiatrack.ranges.ownership import OwnershipMap
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache, map_key
 from fuchsiatrack.ranges.ownershipchange import OwnershipHistory
 from fuchsiatrack.ranges.planner import BalancedPlanner
-from fuchsiatrack.ranges.records import STATE_STREAM, Term
+from fuchsiatrack.ranges.records import STATE_STREAM, EndedTerm, Term
 
 LEADERSHIP_CHECK_INTERVAL_MS = 50
 # Pause between reads of ownership from the log; the leader sends updates as datagrams, and these
@@ -120,9 +122,11 @@
             self.permit_channel.handle_response,
             self._count_datagram,
         )
-        self._term_end_notice: TermEndNotice | None = None
-        self._term_ended_at = 0
-        self._notified_extended_grants_end: tuple[int, int] = (0, 0)
+        # Of the term that this daemon controls, or controlled last.
+        self._inherited = self._create_inherited_grants()
+        # The latest term that this daemon led, and the latest one whose leader sent a notice.
+        self._ended_term = EndedTerm()
+        self._notified_term = EndedTerm()
         self._last_ack_at = clock.now()
         self._misrouted_read_at = 0
         # The revisions of the leader's maps that the latest acknowledgement showed to be newer.
@@ -207,7 +211,7 @@
         self._stop_controllers()
         try:
             async with asyncio.timeout(RESIGN_TIMEOUT_MS / 1_000):
-                await self.leadership.resign(self._extended_grants_remaining())
+                await self._resign_term()
         except TimeoutError:
             log.warning("term resignation timed out")
         # Reported as failing, so that a daemon that has not read the resignation claims the next
@@ -234,7 +238,7 @@
         while True:
             self._check_controllers()
             if self.leadership.holds_term and self._failed_term == self.leadership.current.number:
-                await self.leadership.resign(self._extended_grants_remaining())
+                await self._resign_term()
             elif self.leadership.has_valid_lease():
                 if not self._is_resigning:
                     self._start_controllers()
@@ -246,8 +250,7 @@
         term = self.leadership.current.number
         if term != self._controlled_term:
             self._stop_controllers()
-            self._controlled_term = term
-            self.permit_channel.start_term()
+            self._start_term(term)
         for service in self._keyed_services():
             if service not in self._controller_tasks and self.ownership_cache.is_readable(service):
                 controller = self._create_controller(service)
@@ -271,24 +274,44 @@
             extended_grants_remaining = max(
                 (item.extended_grants_remaining for item in self._controllers.values()), default=0
             )
-            self._term_end_notice = TermEndNotice(self._controlled_term, extended_grants_remaining)
-            self._term_ended_at = self._clock.now()
+            valid_until = self._clock.now() + extended_grants_remaining
+            self._ended_term = EndedTerm(
+                self._controlled_term,
+                self._inherited.arrive_by,
+                max(valid_until, self._inherited.valid_until),
+            )
         for task in self._controller_tasks.values():
             task.cancel()
         self._controller_tasks.clear()
         self._controllers.clear()
         self._controlled_term = 0
 
-    def _extended_grants_remaining(self) -> int:
-        """Return how long extended grants of the term that this daemon ended may last, in ms."""
-        if self._term_end_notice is None:
-            return 0
-        return max(
-            0,
-            self._term_end_notice.extended_grants_remaining
-            - (self._clock.now() - self._term_ended_at),
+    async def _resign_term(self) -> None:
+        """Resign the term, whose controllers have been stopped, and state what grants remain."""
+        ended, now = self._ended_term, self._clock.now()
+        if ended.number != self.leadership.current.number:
+            # Nothing was controlled in the term, so that only earlier leaders may have sent grants.
+            inherited = self._create_inherited_grants()
+            ended = EndedTerm(0, inherited.arrive_by, inherited.valid_until)
+        await self.leadership.resign(
+            max(0, ended.valid_until - now), max(0, ended.sends_until - now)
         )
 
+    def _create_inherited_grants(self) -> InheritedGrants:
+        return InheritedGrants(self._clock, grant_timings(self._settings.max_hold))
+
+    def _start_term(self, term: int) -> None:
+        """Note what is known of the grants of earlier leaders when *term* starts."""
+        self._controlled_term = term
+        self._inherited = self._create_inherited_grants()
+        if not self.ownership_cache.revisions:
+            # Maps are written before keys are granted.
+            self._inherited.clear()
+        for previous in (self.leadership.resigned_term, self._notified_term):
+            if previous.number == term - 1 > 0:
+                self._inherited.cap(previous)
+        self.permit_channel.start_term()
+
     def _create_controller(self, service: str) -> RangeController:
         history = OwnershipHistory()
 
@@ -306,7 +329,7 @@
             self._protocol.broadcast_update(update, self._membership.addresses)
 
         planner: type[BalancedPlanner] = registry.find("range_planner", PLANNER_NAME)
-        controller = RangeController(
+        return RangeController(
             service,
             self.leadership,
             self._directory,
@@ -318,13 +341,8 @@
             functools.partial(self.ownership_cache.moving_since, service),
             save,
             self._limits,
+            self._inherited,
         )
-        previous_end = max(
-            self.leadership.resigned_term_grants_end, self._notified_extended_grants_end
-        )
-        if previous_end[0] == self.leadership.current.number - 1 > 0:
-            controller.cap_inherited_grants(max(0, previous_end[1] - self._clock.now()))
-        return controller
 
     # Reports
 
@@ -438,10 +456,12 @@
 
     def _respond_after_term(self, reported_term: int) -> TermEndNotice | None:
         """Return the notice of this daemon's latest term, if it ended before *reported_term*."""
-        notice = self._term_end_notice
-        if notice is None or notice.term >= reported_term:
+        ended, now = self._ended_term, self._clock.now()
+        if not 0 < ended.number < reported_term:
             return None
-        return TermEndNotice(notice.term, self._extended_grants_remaining())
+        return TermEndNotice(
+            ended.number, max(0, ended.valid_until - now), max(0, ended.sends_until - now)
+        )
 
     def _find_leader_address(self) -> str | None:
         """Return the address of another daemon that leads, None if there is none."""
@@ -453,17 +473,23 @@
         """Cap the inherited grants after the previous leader stopped."""
         if (
             notice.term != self.leadership.current.number - 1
-            or self._notified_extended_grants_end[0] == notice.term
+            or self._notified_term.number == notice.term
         ):
             return
-        self._notified_extended_grants_end = (
-            notice.term,
-            self._clock.now() + notice.extended_grants_remaining,
+        now = self._clock.now()
+        self._notified_term = EndedTerm(
+            notice.term, now + notice.sending_remaining, now + notice.extended_grants_remaining
         )
-        fields = {"term": notice.term, "long_for_ms": notice.extended_grants_remaining}
+        fields = {
+            "term": notice.term,
+            "long_for_ms": notice.extended_grants_remaining,
+            "sending_for_ms": notice.sending_remaining,
+        }
         log.info("previous leader stopped", extra=fields)
-        for controller in self._controllers.values():
-            controller.cap_inherited_grants(notice.extended_grants_remaining)
+        if self._controlled_term == self.leadership.current.number:
+            self._inherited.cap(self._notified_term)
+            for controller in self._controllers.values():
+                controller.apply_inherited_bounds()
 
     def _handle_local_ack(self, ack: ReportAck | TermEndNotice | None) -> None:
         if isinstance(ack, ReportAck):
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -29,6 +29,7 @@
     decode_notices,
     encode_notices,
 )
+from fuchsiatrack.ranges.records import UNKNOWN_SENDING_MS
 
 # Time between reports; the leader counts as unresponsive after three lost reports.
 REPORT_PERIOD_MS = 300
@@ -168,23 +169,33 @@
     """Notice by the leader of `term` that the term has ended and that it sends nothing more in it.
 
     Grants of the term that were extended while its lease was at risk may last for
-    `extended_grants_remaining` milliseconds more.
+    `extended_grants_remaining` milliseconds more, and leaders before it may send grants for
+    `sending_remaining` milliseconds more.
     """
 
     term: int
     extended_grants_remaining: int
+    sending_remaining: int = UNKNOWN_SENDING_MS
 
     def encode(self) -> bytes:
         """Return the notice as JSON."""
         # The first key must stay first: `ReportProtocol` identifies the message by it.
-        body = {"ended_term": self.term, "long_for": self.extended_grants_remaining}
+        body = {
+            "ended_term": self.term,
+            "long_for": self.extended_grants_remaining,
+            "sending_for": self.sending_remaining,
+        }
         return json.dumps(body, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> TermEndNotice:
         """Return the notice encoded in *data*; raise ValueError if it encodes none."""
         body = decode_object(data)
-        return cls(natural(body, "ended_term"), natural(body, "long_for"))
+        return cls(
+            natural(body, "ended_term"),
+            natural(body, "long_for"),
+            natural(body, "sending_for") if "sending_for" in body else UNKNOWN_SENDING_MS,
+        )
 
 
 class MembershipTracker:
--- a/src/fuchsiatrack/ranges/leadership.py
+++ b/src/fuchsiatrack/ranges/leadership.py
@@ -21,6 +21,7 @@
     STATE_STREAM,
     TERM_KEY,
     WRITER_NAME,
+    EndedTerm,
     Term,
 )
 
@@ -48,10 +49,10 @@
 # Grants are extended after this time without a renewal. It covers a due renewal that gets no
 # response at all, and leaves the rest of the lease for sending the extended grants.
 LEASE_AT_RISK_MS = 1_700
-
 # Keeps the sequence numbers of two terms apart, so that no append counts as the repeat of one of
 # another term.
 SEQUENCES_PER_TERM = 1_000_000
+
 log = logging.getLogger(__name__)
 
 
@@ -97,8 +98,8 @@
         self._term_changed = asyncio.Event()
         self._renewal_failing_since: int | None = None
         self._leader_renewal_failing_since: int | None = None
-        # The latest term that was resigned, and the time at which its extended grants end.
-        self.resigned_term_grants_end: tuple[int, int] = (0, 0)
+        # The latest term that was resigned.
+        self.resigned_term = EndedTerm()
         self.won_at = -1
         self.term_changed_at = clock.now()
 
@@ -139,7 +140,8 @@
             self._leader_renewal_failing_since = None
             self._renewal_failing_since = None
         if term.resigned and term.number == self._current.number:
-            self.resigned_term_grants_end = (term.number, self._clock.now() + term.long_for)
+            now = self._clock.now()
+            self.resigned_term = EndedTerm(term.number, now + term.sending_for, now + term.long_for)
         held_term, self._current = self.holds_term, term
         self._leader_seen_at = self._clock.now()
         self._term_changed.set()
@@ -219,16 +221,20 @@
                     )
             raise NotLeading(f"term {writer.epoch} has ended")
 
-    async def resign(self, extended_grants_remaining: int) -> None:
+    async def resign(self, extended_grants_remaining: int, sending_remaining: int = 0) -> None:
         """Resign the term, so that another daemon takes over at once.
 
-        Extended grants may last for another *extended_grants_remaining* milliseconds.
+        Extended grants may last for another *extended_grants_remaining* milliseconds, and earlier
+        leaders may send grants for another *sending_remaining*.
         """
         if not self.holds_term:
             return
         number = self._current.number
         resigned = dataclasses.replace(
-            self._current, resigned=True, long_for=extended_grants_remaining
+            self._current,
+            resigned=True,
+            long_for=extended_grants_remaining,
+            sending_for=sending_remaining,
         )
         try:
             await self.append(TERM_KEY, resigned.encode())
@@ -393,3 +399,8 @@
         self._current = dataclasses.replace(self._current, incarnation="", vm="")
         self._leader_seen_at = self._clock.now()
         self.won_at = -1
+
+
+def _first_sequence(term: int) -> int:
+    """Return the sequence number before all that *term* uses for its records."""
+    return term * SEQUENCES_PER_TERM
