Test the term after one without a controller, and the lease after a lost term

The lease of a daemon that leads again after an unanswered renewal passes and guards against a lease that counts from a renewal of an earlier term.

--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -767,6 +767,39 @@
         run_virtual(run())
 
 
+class TestTermAfterALostOne:
+    """A daemon leads again after a term that ended while a renewal had no response."""
+
+    def test_lease_of_the_later_term_is_valid_from_its_win(self):
+        """Guards against a lease that counts from a renewal of the term before."""
+
+        async def run():
+            shared = OneLog(repeats_first=False)
+            voter = Voter(shared, "vm-1")
+            await voter.wait_leading()
+
+            async def replace_leader(stream, writer):
+                if stream == LEASE_STREAM:
+                    voter.log.on_response = None
+                    for part in (LEASE_STREAM, STATE_STREAM):
+                        shared.append("vm-2", part, (), None, Writer("leader", 2, 0))
+                    claim = Term(2, "vm-2", "run-of-vm-2", "127.0.0.1:1", resigned=True)
+                    shared.append("vm-2", STATE_STREAM, ((TERM_KEY, claim.encode()),), None, None)
+                    await asyncio.sleep(5)
+                    raise PlatformUnavailable("no response")
+
+            voter.log.on_response = replace_leader
+            async with asyncio.timeout(20):
+                while voter.leadership.current.number < 3 or voter.leadership.won_at < 0:
+                    await asyncio.sleep(0.001)
+            won_at = voter.clock.now()
+            while voter.clock.now() < won_at + 5_000:
+                assert voter.leadership.has_valid_lease()
+                await asyncio.sleep(0.01)
+
+        run_virtual(run())
+
+
 class TestFenceOfAnEndedTerm:
     """Another daemon's term begins while a daemon waits for the response to its fence."""
 
@@ -931,7 +964,12 @@
     """The range service of one daemon on a log that it finds, with the servers of a site."""
 
     def __init__(
-        self, shared: OneLog, clock: Clock, servers: Servers, keyed_services: tuple[str, ...]
+        self,
+        shared: OneLog,
+        clock: Clock,
+        servers: Servers,
+        keyed_services: tuple[str, ...],
+        vm: str = "vm-1",
     ) -> None:
         self.clock = clock
         self.port = free_port(socket.SOCK_DGRAM)
@@ -941,13 +979,13 @@
         budget = RetryBudgetSettings(ratio=0.2, fixed=50.0, window=10_000)
         unused = Endpoint("127.0.0.1", 1)
         settings = GatewaySettings(
-            "vm-1", "a", unused, unused, Endpoint("127.0.0.1", self.port), unused, 1,
+            vm, "a", unused, unused, Endpoint("127.0.0.1", self.port), unused, 1,
             2_000, 3_000, MAX_GRANT_MS, 6_000, budget,
         )  # fmt: skip
         self.service = RangeService(
             settings,
-            "run-of-vm-1",
-            OneLogClient(shared, "vm-1"),
+            f"run-of-{vm}",
+            OneLogClient(shared, vm),
             ServersClient(servers),
             self.directory,
             ServerStatsRegistry(clock),
@@ -1019,6 +1057,38 @@
 
         run_virtual(run())
 
+    def test_next_leader_waits_for_grants_from_before_the_term(
+        self, keyed_services: tuple[str, ...]
+    ):
+        """A server that is cut off holds its keys by an extended grant of the former leader."""
+
+        async def run():
+            former = dataclasses.replace(FORMER_TERM, resigned=True, long_for=7_500)
+            shared = self._create_log(former)
+            clock = NodeClock()
+            servers = Servers(clock)
+            for incarnation, item in zip(
+                INCARNATIONS, divide_evenly(INCARNATIONS, 402).ranges, strict=True
+            ):
+                address = _address(incarnation.server)
+                servers.start(address, incarnation)
+                assert servers.grant(address, item.first, item.last, item.fence, 7_500)
+            servers.cut.add(_address("s0"))
+            leader = Leader(shared, clock, servers, keyed_services)
+            await leader.wait_leading()
+            following = Leader(shared, clock, servers, (SERVICE,), "vm-2")
+            await asyncio.sleep(0.3)
+            await leader.service.resign()
+            leader.close()
+            await following.wait_leading()
+            await asyncio.sleep(12)
+            following.close()
+            assert len(servers.holders(0)) == 1
+            assert not servers.overlaps
+            assert not servers.fence_faults
+
+        run_virtual(run())
+
     @FORMER_TERMS
     async def test_notice_of_a_replaced_leader_reports_what_the_term_inherited(
         self, former: Term, remaining: int, keyed_services: tuple[str, ...]
