--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -120,7 +120,7 @@
         self._renewer = GrantRenewer(
             service, leadership, directory, grant_client, clock, max_grant_duration, self, inherited
         )
-        self._ledger = self._renewer.ledger
+        self._tracker = self._renewer.tracker
         self._renewer.record_inherited_grants(moving_since)
 
     @property
@@ -270,7 +270,7 @@
         latest = self._clock.now() + GRANT_TIMEOUT_MS
         return not any(
             self._renewer.can_renew(item.owner)
-            and self._ledger.settled_at(item.owner.server, item.first, item.last) > latest
+            and self._tracker.settled_at(item.owner.server, item.first, item.last) > latest
             for item in self._map.ranges
             if item.overlaps(move.first, move.last) and not item.is_moving
         )
@@ -365,17 +365,17 @@
             moving = self._map.find(item.first) or item
             successor = moving.successor or item.owner
             now = self._clock.now()
-            if self._ledger.free_at(item.first, item.last, successor.server) <= now:
-                if self._ledger.holders(item.first, item.last):
+            if self._tracker.free_at(item.first, item.last, successor.server) <= now:
+                if self._tracker.holders(item.first, item.last):
                     reason = ReleaseReason.SAME_SERVER
                 return _Release(successor, reason, remaining, handover)
-            remaining = self._ledger.free_at(item.first, item.last, successor.server) - now
-            settled_in = self._ledger.settled_at(owner, item.first, item.last) - now
+            remaining = self._tracker.free_at(item.first, item.last, successor.server) - now
+            settled_in = self._tracker.settled_at(owner, item.first, item.last) - now
             if settled_in > 0:
                 await self._clock.sleep(min(settled_in, RETRY_DELAY_MS))
                 continue
             reason, handover = await self._try_release(item)
-            if self._ledger.holders(item.first, item.last).keys() - {successor.server}:
+            if self._tracker.holders(item.first, item.last).keys() - {successor.server}:
                 reason = ReleaseReason.EXPIRED
                 await self._clock.sleep(RETRY_DELAY_MS)
         return None
@@ -383,7 +383,7 @@
     async def _try_release(self, item: OwnedRange) -> tuple[ReleaseReason, str]:
         """Ask the owner of *item* to release it, in whatever run it is.
 
-        Return why its keys are free, as far as the ledger agrees, and the handover.
+        Return why its keys are free, as far as the tracker agrees, and the handover.
         """
         failed = ReleaseReason.EXPIRED, ""
         server = self._directory.find(item.owner.server) or self._directory.latest_entry(item.owner)
@@ -396,13 +396,13 @@
             )
         except WrongServer as error:
             log.info("owner has ended", extra={"server": server.id, "why": str(error)})
-            self._ledger.record_absence(server.id, server.address, item.first, item.last, sent_at)
+            self._tracker.record_absence(server.id, server.address, item.first, item.last, sent_at)
             return ReleaseReason.REPLACED, ""
         except (OutcomeUnknown, NotDelivered) as error:
             fields = {"server": server.id, "first": item.first, "why": str(error)}
             log.info("release failed", extra=fields)
             return failed
-        self._ledger.record_release(server.id, item.first, item.last, sent_at)
+        self._tracker.record_release(server.id, item.first, item.last, sent_at)
         self._renewer.record_reachable(server.incarnation)
         return ReleaseReason.RELEASED, token
 
--- a/src/fuchsiatrack/ranges/grantrenewer.py
+++ b/src/fuchsiatrack/ranges/grantrenewer.py
@@ -18,7 +18,7 @@
     RangeGrant,
     RangeGrantClient,
 )
-from fuchsiatrack.ranges.grantledger import GrantLedger, KeysNotFree, longest_duration
+from fuchsiatrack.ranges.granttracker import GrantTracker, KeysNotFree, longest_duration
 from fuchsiatrack.ranges.inheritedgrants import GrantTimings, InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
@@ -83,7 +83,7 @@
 class GrantRenewer:
     """Renews the grants of a service, with one task for each server; times are in milliseconds.
 
-    `ledger` has the grants of this leader and of earlier leaders, which *inherited* bounds.
+    `tracker` has the grants of this leader and of earlier leaders, which *inherited* bounds.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
         self._unreachable: set[ServerIncarnation] = set()
         self._probe_tasks: dict[ServerIncarnation, asyncio.Task] = {}
         self._was_at_risk = False
-        self.ledger = GrantLedger(clock)
+        self.tracker = GrantTracker(clock)
 
     def record_inherited_grants(self, moving_since: Callable[[OwnedRange], int]) -> None:
         """Record the grants that earlier leaders may have sent, or may send until their leases end.
@@ -127,7 +127,7 @@
             inherited_latest = self._inherited.arrive_by
             arrive_by = min(inherited_latest, moving_latest) if item.is_moving else inherited_latest
             entry = self._directory.latest_entry(item.owner)
-            self.ledger.record_inherited(
+            self.tracker.record_inherited(
                 item.owner.server,
                 entry.address if entry else "",
                 item.first,
@@ -159,7 +159,7 @@
 
     def apply_inherited_bounds(self) -> None:
         """Apply what is known of earlier leaders to the recorded grants."""
-        self.ledger.cap_inherited(self._inherited.arrive_by, self._inherited.valid_until)
+        self.tracker.cap_inherited(self._inherited.arrive_by, self._inherited.valid_until)
 
     def can_renew(self, incarnation: ServerIncarnation) -> bool:
         """Return whether grants can be sent to *incarnation*: it is listed and reachable."""
@@ -300,7 +300,7 @@
     async def _grant(self, entry: ServerEntry, item: OwnedRange, duration: int) -> None:
         grant = RangeGrant(item.first, item.last, item.fence, duration, item.handover)
         # Recorded before the request, since the task may be cancelled while it is in flight.
-        possible = self.ledger.record_grant(
+        possible = self.tracker.record_grant(
             entry.id,
             entry.address,
             item.first,
@@ -311,12 +311,12 @@
         try:
             await self._grant_client.grant(entry, grant, GRANT_TIMEOUT_MS)
         except NotDelivered:
-            self.ledger.withdraw(possible, item.first, item.last)
+            self.tracker.withdraw(possible, item.first, item.last)
             raise
         except GrantRefused:
-            self.ledger.record_response(possible, item.first, item.last)
+            self.tracker.record_response(possible, item.first, item.last)
             raise
-        self.ledger.record_response(possible, item.first, item.last)
+        self.tracker.record_response(possible, item.first, item.last)
         self.record_reachable(entry.incarnation)
 
     async def _raise_fence(self, item: OwnedRange, reason: str) -> None:
--- a/src/fuchsiatrack/ranges/grantledger.py
+++ b/src/fuchsiatrack/ranges/granttracker.py
@@ -57,7 +57,7 @@
 _Grants = tuple[PossibleGrant, ...]
 
 
-class GrantLedger:
+class GrantTracker:
     """The grants that servers may have accepted, from this leader and from earlier ones.
 
     A grant counts until the server has released its keys under a greater fence, or until it has
--- a/src/fuchsiatrack/ranges/inheritedgrants.py
+++ b/src/fuchsiatrack/ranges/inheritedgrants.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from fuchsiatrack.kernel.clock import Clock
-from fuchsiatrack.ranges.grantledger import longest_duration
+from fuchsiatrack.ranges.granttracker import longest_duration
 from fuchsiatrack.ranges.records import EndedTerm
 
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -29,8 +29,8 @@
     RangeGrantClient,
     WrongServer,
 )
-from fuchsiatrack.ranges.grantledger import GrantLedger, KeysNotFree
 from fuchsiatrack.ranges.grantrenewer import GrantRenewer, OwnershipView
+from fuchsiatrack.ranges.granttracker import GrantTracker, KeysNotFree
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership, NotLeading
 from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnedRange, OwnershipMap, divide_evenly
@@ -115,88 +115,88 @@
             ownership.finish_move(ownership.ranges[0], "")
 
 
-class TestGrantLedger:
+class TestGrantTracker:
     """Which servers may hold keys, and until when."""
 
     ADDRESS = "s0:1"
 
-    def _grant(self, ledger: GrantLedger, first: int, last: int, duration: int, arrives_by=0):
-        return ledger.record_grant("s0", self.ADDRESS, first, last, arrives_by, duration)
+    def _grant(self, tracker: GrantTracker, first: int, last: int, duration: int, arrives_by=0):
+        return tracker.record_grant("s0", self.ADDRESS, first, last, arrives_by, duration)
 
     @given(st.lists(st.tuples(st.integers(0, 20), st.integers(0, 20), st.integers(1, 100))))
     @settings(max_examples=100, deadline=None)
     def test_no_grant_is_dropped_before_it_expires(self, grants: list[tuple[int, int, int]]):
-        ledger = GrantLedger(ManualClock())
+        tracker = GrantTracker(ManualClock())
         for first, last, duration in grants:
             bounds = min(first, last), max(first, last)
-            ledger.record_response(self._grant(ledger, *bounds, duration, 5), *bounds)
+            tracker.record_response(self._grant(tracker, *bounds, duration, 5), *bounds)
         for key in range(21):
             ends = [
                 5 + duration + -(-duration * 2 // 100)
                 for a, b, duration in grants
                 if min(a, b) <= key <= max(a, b)
             ]
-            assert ledger.free_at(key, key, "s1") == max(ends, default=0)
+            assert tracker.free_at(key, key, "s1") == max(ends, default=0)
 
     def test_release_clears_only_the_released_keys(self):
-        ledger = GrantLedger(ManualClock())
-        self._grant(ledger, 0, 100, 1_000)
-        ledger.record_release("s0", 40, 60, 0)
-        assert ledger.free_at(40, 60, "s1") == 0
-        assert ledger.free_at(39, 39, "s1") == ledger.free_at(61, 61, "s1") == 1_020
+        tracker = GrantTracker(ManualClock())
+        self._grant(tracker, 0, 100, 1_000)
+        tracker.record_release("s0", 40, 60, 0)
+        assert tracker.free_at(40, 60, "s1") == 0
+        assert tracker.free_at(39, 39, "s1") == tracker.free_at(61, 61, "s1") == 1_020
 
     def test_release_does_not_clear_a_grant_that_may_arrive_after_it(self):
         """Guards against a server that restarts after its release and takes an earlier grant."""
-        ledger = GrantLedger(ManualClock())
-        self._grant(ledger, 0, 100, 1_000, arrives_by=600)
-        ledger.record_release("s0", 0, 100, 599)
-        assert ledger.free_at(0, 100, "s1") == 1_620
-        assert ledger.settled_at("s0", 0, 100) == 600
-        ledger.record_release("s0", 0, 100, 600)
-        assert ledger.free_at(0, 100, "s1") == 0
+        tracker = GrantTracker(ManualClock())
+        self._grant(tracker, 0, 100, 1_000, arrives_by=600)
+        tracker.record_release("s0", 0, 100, 599)
+        assert tracker.free_at(0, 100, "s1") == 1_620
+        assert tracker.settled_at("s0", 0, 100) == 600
+        tracker.record_release("s0", 0, 100, 600)
+        assert tracker.free_at(0, 100, "s1") == 0
 
     def test_another_server_at_an_address_clears_only_what_was_sent_there(self):
-        ledger = GrantLedger(ManualClock())
-        self._grant(ledger, 0, 100, 1_000)
-        ledger.record_absence("s0", "s0:2", 0, 100, 0)
-        assert ledger.free_at(0, 100, "s1") == 1_020
-        ledger.record_absence("s0", self.ADDRESS, 0, 100, 0)
-        assert ledger.free_at(0, 100, "s1") == 0
+        tracker = GrantTracker(ManualClock())
+        self._grant(tracker, 0, 100, 1_000)
+        tracker.record_absence("s0", "s0:2", 0, 100, 0)
+        assert tracker.free_at(0, 100, "s1") == 1_020
+        tracker.record_absence("s0", self.ADDRESS, 0, 100, 0)
+        assert tracker.free_at(0, 100, "s1") == 0
 
     def test_cap_limits_only_later_expiries(self):
-        ledger = GrantLedger(ManualClock())
-        ledger.record_inherited("s0", self.ADDRESS, 0, 100, 3_000, 7_500)
-        ledger.record_inherited("s1", "s1:1", 0, 100, 0, 1_000)
-        ledger.cap_inherited(600, 4_680)
-        assert ledger.free_at(0, 100, "s1") == 4_680
-        assert ledger.free_at(0, 100, "s0") == 1_020
-        assert ledger.settled_at("s0", 0, 100) == 600
-        assert ledger.settled_at("s1", 0, 100) == 0
+        tracker = GrantTracker(ManualClock())
+        tracker.record_inherited("s0", self.ADDRESS, 0, 100, 3_000, 7_500)
+        tracker.record_inherited("s1", "s1:1", 0, 100, 0, 1_000)
+        tracker.cap_inherited(600, 4_680)
+        assert tracker.free_at(0, 100, "s1") == 4_680
+        assert tracker.free_at(0, 100, "s0") == 1_020
+        assert tracker.settled_at("s0", 0, 100) == 600
+        assert tracker.settled_at("s1", 0, 100) == 0
 
     def test_cap_leaves_the_grants_of_this_leader(self):
-        ledger = GrantLedger(ManualClock())
-        self._grant(ledger, 0, 100, 7_500, arrives_by=600)
-        ledger.cap_inherited(600, 4_680)
-        assert ledger.free_at(0, 100, "s1") == 8_250
+        tracker = GrantTracker(ManualClock())
+        self._grant(tracker, 0, 100, 7_500, arrives_by=600)
+        tracker.cap_inherited(600, 4_680)
+        assert tracker.free_at(0, 100, "s1") == 8_250
 
     def test_withdrawn_grant_leaves_the_earlier_ones(self):
-        ledger = GrantLedger(ManualClock())
-        self._grant(ledger, 0, 100, 500)
-        later = self._grant(ledger, 0, 100, 9_000)
-        ledger.withdraw(later, 0, 100)
-        assert ledger.free_at(0, 100, "s1") == 510
+        tracker = GrantTracker(ManualClock())
+        self._grant(tracker, 0, 100, 500)
+        later = self._grant(tracker, 0, 100, 9_000)
+        tracker.withdraw(later, 0, 100)
+        assert tracker.free_at(0, 100, "s1") == 510
 
     def test_keys_that_another_server_may_hold_are_not_granted(self):
         clock = ManualClock()
-        ledger = GrantLedger(clock)
-        self._grant(ledger, 0, 100, 1_000)
+        tracker = GrantTracker(clock)
+        self._grant(tracker, 0, 100, 1_000)
         for first, last in ((0, 100), (100, 200), (50, 50)):
             with pytest.raises(KeysNotFree):
-                ledger.record_grant("s1", "s1:1", first, last, 0, 1_000)
-        ledger.record_grant("s1", "s1:1", 101, 200, 0, 1_000)
+                tracker.record_grant("s1", "s1:1", first, last, 0, 1_000)
+        tracker.record_grant("s1", "s1:1", 101, 200, 0, 1_000)
         clock.time = 1_020
-        ledger.record_grant("s1", "s1:1", 0, 100, 1_020, 1_000)
-        assert set(ledger.holders(0, 200)) == {"s1"}
+        tracker.record_grant("s1", "s1:1", 0, 100, 1_020, 1_000)
+        assert set(tracker.holders(0, 200)) == {"s1"}
 
     @given(
         st.lists(
@@ -211,10 +211,10 @@
         )
     )
     @settings(max_examples=200, deadline=None)
-    def test_ledger_knows_every_holder_of_every_key(self, steps):
+    def test_tracker_knows_every_holder_of_every_key(self, steps):
         """Compare with a list of all grants for each key."""
         clock = ManualClock()
-        ledger = GrantLedger(clock)
+        tracker = GrantTracker(clock)
         held: dict[int, list[tuple[str, int, int]]] = {key: [] for key in range(31)}
         for kind, index, one, other, amount in steps:
             server, first, last = f"s{index}", min(one, other), max(one, other)
@@ -222,7 +222,7 @@
             if kind == "wait":
                 clock.time += amount
             elif kind == "release":
-                ledger.record_release(server, first, last, clock.time)
+                tracker.record_release(server, first, last, clock.time)
                 for key in keys:
                     held[key] = [
                         item for item in held[key] if item[0] != server or item[1] > clock.time
@@ -234,7 +234,7 @@
                     for holder, _, end in held[key]
                 )
                 try:
-                    grant = ledger.record_grant(
+                    grant = tracker.record_grant(
                         server, self.ADDRESS, first, last, clock.time + 10, amount
                     )
                 except KeysNotFree:
@@ -242,16 +242,16 @@
                     continue
                 assert is_free
                 if kind == "refuse":
-                    ledger.withdraw(grant, first, last)
+                    tracker.withdraw(grant, first, last)
                     continue
                 if kind == "grant":
-                    ledger.record_response(grant, first, last)
+                    tracker.record_response(grant, first, last)
                 arrival = clock.time + (10 if kind == "lose" else 0)
                 for key in keys:
                     held[key].append((server, arrival, grant.expires_at))
             for key in range(31):
                 expected = {name for name, _, end in held[key] if end > clock.time}
-                assert ledger.holders(key, key).keys() == expected
+                assert tracker.holders(key, key).keys() == expected
 
 
 def _rates(counts: dict[int, int]) -> KeyRates:
