Give keys to the later run of their server while an earlier leader may still grant them

Keys of a server that restarted with fewer slots while the leader was lost had no holder for 4.8 s, 1.7 s before the tracker decided: their planned move to other servers waited for the former leader's lease.

--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -7,7 +7,7 @@
 import enum
 import functools
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from fuchsiatrack.directory.servers import ServerDirectory, ServerIncarnation
 from fuchsiatrack.kernel.clock import Clock
@@ -247,7 +247,7 @@
             self._limits.rates,
             self._limits.recent_limits,
         )
-        moves = tuple(filter(self._can_start, self._planner.plan(planner_input)))
+        moves = self._replace_unsettled_moves(self._planner.plan(planner_input), capacities)
         if not moves:
             return
         await self._update(lambda current: _apply_moves(current, moves))
@@ -261,19 +261,33 @@
             }
             log.info("move started", extra=fields)
 
-    def _can_start(self, move: PlannedMove) -> bool:
-        """Return whether *move* need not wait for the end of earlier leaders' leases.
+    def _replace_unsettled_moves(
+        self, moves: tuple[PlannedMove, ...], usable: Iterable[ServerIncarnation]
+    ) -> tuple[PlannedMove, ...]:
+        """Return the moves to start now.
 
-        Such a move would leave the keys without an owner meanwhile, so that they are renewed as
-        long as they can be.
+        Keys that an earlier leader may still grant to their owner can go to another server only
+        after that leader's lease.  Until then they are renewed at their owner or, if it has
+        restarted, go to its later run, which is among the *usable* ones.
         """
+        later_runs = {incarnation.server: incarnation for incarnation in usable}
         latest = self._clock.now() + GRANT_TIMEOUT_MS
-        return not any(
-            self._renewer.can_renew(item.owner)
-            and self._tracker.settled_at(item.owner.server, item.first, item.last) > latest
-            for item in self._map.ranges
-            if item.overlaps(move.first, move.last) and not item.is_moving
+        kept_ranges, to_later_runs = [], []
+        for item in self._map.ranges:
+            settled_at = self._tracker.settled_at(item.owner.server, item.first, item.last)
+            if item.is_moving or settled_at <= latest:
+                continue
+            run = later_runs.get(item.owner.server, item.owner)
+            if run != item.owner:
+                to_later_runs.append(PlannedMove(item.first, item.last, run))
+            if run != item.owner or self._renewer.can_renew(item.owner):
+                kept_ranges.append(item)
+        started = (
+            move
+            for move in moves
+            if not any(item.overlaps(move.first, move.last) for item in kept_ranges)
         )
+        return (*to_later_runs, *started)
 
     async def _merge_ranges(self) -> None:
         before = len(self._map.ranges)
