Resign only where the stream still ends with the leader's own records

Two daemons led at once, and servers held the same keys for up to 3.9 s: a resignation that got no response was executed after the next daemon's claim and before its fence. It replaced the claim as the newest term record, so that a daemon that started then claimed the same term number again, and its appends counted as repeats of the first one's.

The resignation is conditional, as claims are: term records are written only at an end that their writer knows.

--- a/src/fuchsiatrack/ranges/leadership.py
+++ b/src/fuchsiatrack/ranges/leadership.py
@@ -90,6 +90,10 @@
         self._renewed_at = -LEASE_DURATION_MS
         self._leader_seen_at = clock.now()
         self._sequence = 0
+        # The end of the state stream after the latest append of this daemon as the leader.
+        self._state_end = 0
+        # The latest term that this daemon led and ended.
+        self._ended_own_term = 0
         self._renewal_number = 0
         self._renewal_term = 0
         # When the renewal with the latest number was first sent without a response.
@@ -196,20 +200,23 @@
             else:
                 await self._clock.sleep(POLL_PERIOD_MS)
 
-    async def append(self, key: str, value: bytes) -> None:
+    async def append(self, key: str, value: bytes, at: int | None = None) -> None:
         """Append a record to the state stream as the leader of the current term.
 
-        Return once the record is certainly written. Raise NotLeading if the term ends first; the
-        record may still have been written.
+        With *at*, append only if the stream ends at that offset.  Return once the record is
+        certainly written.  Raise NotLeading if the term ends first; the record may still have been
+        written.
         """
         async with self._state_lock:
             self._sequence += 1
             writer = Writer(WRITER_NAME, self._current.number, self._sequence)
             while self.holds_term and self.won_at >= 0:
                 try:
-                    await self._log_service.append(STATE_STREAM, [(key, value)], writer=writer)
+                    self._state_end = await self._log_service.append(
+                        STATE_STREAM, [(key, value)], at=at, writer=writer
+                    )
                     return
-                except Fenced as error:
+                except (ConditionFailed, Fenced) as error:
                     self._end_term(str(error))
                 except (AppendRefused, PlatformUnavailable) as error:
                     # The sequence number prevents a duplicate if only the response was lost.
@@ -221,7 +228,7 @@
                     )
             raise NotLeading(f"term {writer.epoch} has ended")
 
-    async def resign(self, extended_grants_remaining: int, sending_remaining: int = 0) -> None:
+    async def resign(self, extended_grants_remaining: int, sending_remaining: int) -> None:
         """Resign the term, so that another daemon takes over at once.
 
         Extended grants may last for another *extended_grants_remaining* milliseconds, and earlier
@@ -237,7 +244,8 @@
             sending_for=sending_remaining,
         )
         try:
-            await self.append(TERM_KEY, resigned.encode())
+            # Conditional like a claim: executed after the next claim, it would hide that one.
+            await self.append(TERM_KEY, resigned.encode(), at=self._state_end)
         except NotLeading:
             log.info("term ended before the resignation", extra={"term": number})
             return
@@ -334,6 +342,7 @@
         except Fenced as error:
             self._end_term(str(error))
             return
+            self._state_end = end
         except (AppendRefused, PlatformUnavailable) as error:
             self._record_renewal_failure(str(error))
             await self._clock.sleep(RENEWAL_RETRY_DELAY_MS)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -434,7 +434,7 @@
 
         monkeypatch.setattr(second.leadership, "_is_leader_lost", never)
         first_term = first.leadership.current.number
-        await first.leadership.resign(0)
+        await first.leadership.resign(0, 0)
         await _wait_for(lambda: first._controlled_term > first_term, 6.0)
         leads_again_at = second._clock.now()
         await _wait_for(lambda: second._last_ack_at > leads_again_at, 3.0)
--- /dev/null
+++ b/tests/test_leader_succession.py
@@ -0,0 +1,79 @@
+"""What leaders leave to their successors: term records, notices, and grants that are valid."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY
+from tests.leaderfleet import Fate, LeaderFleet, _call_later, quiet, run_fleet
+
+
+class LateResignation:
+    """A log that executes the first resignation `delay` milliseconds after the next claim."""
+
+    def __init__(self, fleet: LeaderFleet, delay: int) -> None:
+        self._append: Callable = fleet.log.append
+        self._delay = delay
+        self._resignation: tuple | None = None
+        self.is_claimed = False
+        fleet.log.append = self.append
+
+    def append(self, stream, records, at=None, writer=None):
+        """Append to the log, as `LogService.append`."""
+        is_term = stream == STATE_STREAM and any(key == TERM_KEY for key, _ in records)
+        if is_term and writer is not None and self._resignation is None:
+            self._resignation = (stream, records, at, writer)
+            return PlatformUnavailable("no response")
+        response = self._append(stream, records, at, writer)
+        if is_term and writer is None and not self.is_claimed:
+            self.is_claimed = True
+            _call_later(self._delay, lambda: self._append(*self._resignation))
+        return response
+
+
+async def _resign_late(repeats_first: bool) -> tuple[int, list[str]]:
+    """Return for how many ms two daemons led after a late resignation, and the violations."""
+    fleet = LeaderFleet(servers=6, repeats_first=repeats_first)
+    try:
+        await fleet.start()
+        await fleet.wait(3_000)
+        former = fleet.leader
+        for name in fleet.daemons.keys() - {former.name}:
+            # The fence follows the claim only after the late resignation.
+            fleet.network.add_fate("append 0", name, Fate(response_delay=400))
+        resignation = LateResignation(fleet, 100)
+        former.spawn(former.service.resign())
+        await fleet.wait(100)
+        former.kill()
+        fleet._ended.append(former)
+        await fleet.wait_until(lambda: resignation.is_claimed, 10_000)
+        await fleet.wait(1_500)
+        # The new leader saves a move, reads its own record, and then pauses its reads.
+        fleet.drain_server(fleet.running[0])
+        await fleet.wait_until(lambda: fleet.log.end(STATE_STREAM) > 4, 5_000)
+        await fleet.wait(500)
+        await fleet.start_daemon(former.name)
+        both_lead = 0
+        for _ in range(1_000):
+            await asyncio.sleep(0.01)
+            services = [daemon.service for daemon in fleet.daemons.values()]
+            leading = sum(item.leadership.has_valid_lease() for item in services)
+            both_lead += 10 * (leading > 1)
+        return both_lead, list(fleet.audit.violations)
+    finally:
+        await fleet.close()
+
+
+class TestLateResignation:
+    """A resignation that is executed after the next claim doesn't hide that claim."""
+
+    @pytest.mark.parametrize("repeats_first", [True, False])
+    def test_no_two_daemons_lead_at_once(self, repeats_first: bool):
+        with quiet():
+            both_lead, violations = run_fleet(_resign_late(repeats_first))
+        assert not both_lead
+        assert not violations
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -592,7 +592,7 @@
         second = Candidate(log_service, "vm-2")
         await asyncio.sleep(0.3)
         first.tasks[0].cancel()
-        await first.leadership.resign(0)
+        await first.leadership.resign(0, 0)
         await _wait_for(second.leadership.has_valid_lease, 1.0)
         await first.close()
         await second.close()
