Report each extended grant, and extend grants only while the lease is at risk

A leader reported less than was left of its extended grants, so that its successor gave keys of a server that was cut off to another one up to 0.8 s too early, and more with more ranges: the end was computed once, before the grants of all ranges of a server were sent one after the other.

The end is taken from each grant that is sent, and so is the decision whether it is extended.

TestExtendedGrantsOfSeveralRanges failed before: 5,565 ms reported, 6,327 ms left.

--- a/src/fuchsiatrack/ranges/grantrenewer.py
+++ b/src/fuchsiatrack/ranges/grantrenewer.py
@@ -18,7 +18,7 @@
     RangeGrant,
     RangeGrantClient,
 )
-from fuchsiatrack.ranges.granttracker import GrantTracker, KeysNotFree, longest_duration
+from fuchsiatrack.ranges.granttracker import GrantTracker, KeysNotFree
 from fuchsiatrack.ranges.inheritedgrants import GrantTimings, InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
@@ -239,22 +239,18 @@
         while True:
             wake_event = self._wake_events[incarnation]
             wake_event.clear()
-            duration = self._grant_duration()
-            has_responded = await self._grant_ranges(incarnation, duration)
-            pause = int(duration * RENEWAL_PERIOD_RATIO) if has_responded else RETRY_DELAY_MS
+            has_responded = await self._grant_ranges(incarnation)
+            renewal_period = int(GRANT_DURATION_MS * RENEWAL_PERIOD_RATIO)
             await self._sleep_or_wake(
-                wake_event, min(pause, int(GRANT_DURATION_MS * RENEWAL_PERIOD_RATIO))
+                wake_event, renewal_period if has_responded else RETRY_DELAY_MS
             )
 
     def _grant_duration(self) -> int:
-        """Return the duration of the next grants, which are extended while the lease is at risk."""
-        if not self._leadership.is_lease_at_risk:
-            return GRANT_DURATION_MS
-        end = self._clock.now() + GRANT_TIMEOUT_MS + longest_duration(self._extended_duration)
-        self._extended_until = max(self._extended_until, end)
-        return self._extended_duration
-
-    async def _grant_ranges(self, incarnation: ServerIncarnation, duration: int) -> bool:
+        """Return the duration of the next grant, which is extended while the lease is at risk."""
+        is_at_risk = self._leadership.is_lease_at_risk
+        return self._extended_duration if is_at_risk else GRANT_DURATION_MS
+
+    async def _grant_ranges(self, incarnation: ServerIncarnation) -> bool:
         """Grant *incarnation* the ranges that it owns, and return whether it responded."""
         for item in self._renewable_ranges(incarnation):
             entry = self._find_entry(incarnation)
@@ -264,7 +260,7 @@
                 # It has changed since the first grant was sent.
                 continue
             try:
-                await self._grant(entry, item, duration)
+                await self._grant(entry, item, self._grant_duration())
             except (OutcomeUnknown, NotDelivered) as error:
                 log.info("grant failed", extra={"server": entry.id, "why": str(error)})
                 self._record_failure(incarnation)
@@ -308,6 +304,8 @@
             self._clock.now() + GRANT_TIMEOUT_MS,
             duration,
         )
+        if duration > GRANT_DURATION_MS:
+            self._extended_until = max(self._extended_until, possible.expires_at)
         try:
             await self._grant_client.grant(entry, grant, GRANT_TIMEOUT_MS)
         except NotDelivered:
--- a/tests/test_leader_succession.py
+++ b/tests/test_leader_succession.py
@@ -8,8 +8,17 @@
 import pytest
 
 from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.ranges.grantrenewer import GRANT_DURATION_MS
+from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY
+from tests.fakes import run_virtual
 from tests.leaderfleet import Fate, LeaderFleet, _call_later, quiet, run_fleet
+from tests.test_owner_incident import (
+    INCARNATIONS,
+    Servers,
+    ServersClient,
+    Site,
+)
 
 
 class LateResignation:
@@ -77,3 +86,47 @@
             both_lead, violations = run_fleet(_resign_late(repeats_first))
         assert not both_lead
         assert not violations
+
+
+class SlowServersClient(ServersClient):
+    """Servers that respond to grants after 500 ms; `sent` has the time and duration of each."""
+
+    def __init__(self, servers: Servers) -> None:
+        super().__init__(servers)
+        self.sent: list[tuple[int, int]] = []
+
+    async def grant(self, server, grant, timeout):
+        self.sent.append((self._servers.clock.now(), grant.duration))
+        await super().grant(server, grant, timeout)
+        await asyncio.sleep(0.5)
+
+
+class TestExtendedGrantsOfSeveralRanges:
+    """What a leader reports covers each extended grant, however long it takes to send them."""
+
+    def test_last_extended_grant_is_reported(self):
+        async def run() -> None:
+            site = Site()
+            site.stop_leader()
+            await site.wait(10)
+            ranges = tuple(
+                OwnedRange(index * 4_096, index * 4_096 + 4_095, INCARNATIONS[index % 4], 5)
+                for index in range(16)
+            )
+            site.saved.append(OwnershipMap(ranges, 5, 5))
+            site.start_leader()
+            client = SlowServersClient(site.servers)
+            site.controller._renewer._grant_client = client
+            await site.wait(12_000)
+            assert site.controller.extended_grants_remaining == 0
+            site.leadership.is_lease_at_risk = True
+            await site.wait(250)
+            site.leadership.is_lease_at_risk = False
+            await site.wait(2_500)
+            ends = [sent_at + time for sent_at, time in client.sent if time > GRANT_DURATION_MS]
+            remaining = max(ends) - site.clock.now()
+            reported = site.controller.extended_grants_remaining
+            site.stop_leader()
+            assert reported >= remaining > 0
+
+        run_virtual(run())
