Pass on inherited grants also if the only map can't be read

A leader that couldn't decode the only ownership map took it for none, and told its successor that earlier leaders had granted nothing; the successor, which can read it, gave keys away that were still held. Found by the review.

TestTermWithAnUnreadableMap (former term resigned, or lost) failed before: 0 ms reported, 6 and 10 s left.

--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -292,7 +292,8 @@
         if ended.number != self.leadership.current.number:
             # Nothing was controlled in the term, so that only earlier leaders may have sent grants.
             inherited = self._create_inherited_grants()
-            ended = EndedTerm(0, inherited.arrive_by, inherited.valid_until)
+            term = self.leadership.current.number
+            ended = EndedTerm(term, inherited.arrive_by, inherited.valid_until)
         await self.leadership.resign(
             max(0, ended.valid_until - now), max(0, ended.sends_until - now)
         )
@@ -304,7 +305,7 @@
         """Note what is known of the grants of earlier leaders when *term* starts."""
         self._controlled_term = term
         self._inherited = self._create_inherited_grants()
-        if not self.ownership_cache.revisions:
+        if not self.ownership_cache.has_maps:
             # Maps are written before keys are granted.
             self._inherited.clear()
         for previous in (self.leadership.resigned_term, self._notified_term):
--- a/src/fuchsiatrack/ranges/ownershipcache.py
+++ b/src/fuchsiatrack/ranges/ownershipcache.py
@@ -39,6 +39,11 @@
         """The revision of the map of each service."""
         return {service: item.revision for service, item in self._maps.items()}
 
+    @property
+    def has_maps(self) -> bool:
+        """Whether there is a map of any service on the log, one that can't be decoded included."""
+        return bool(self._maps or self._unreadable)
+
     def find(self, service: str) -> OwnershipMap:
         """Return the map of *service*, which is empty if no keys are assigned."""
         return self._maps.get(service, OwnershipMap())
--- a/tests/test_leader_succession.py
+++ b/tests/test_leader_succession.py
@@ -3,21 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 import pytest
 
 from fuchsiatrack.kernel.errors import PlatformUnavailable
-from fuchsiatrack.ranges.grantrenewer import GRANT_DURATION_MS
+from fuchsiatrack.ranges.grantrenewer import EXTENDED_GRANT_DURATION_MS, GRANT_DURATION_MS
+from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
-from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY
-from tests.fakes import run_virtual
+from fuchsiatrack.ranges.ownershipcache import map_key
+from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, Term
+from tests.fakes import NodeClock, run_virtual
 from tests.leaderfleet import Fate, LeaderFleet, _call_later, quiet, run_fleet
 from tests.test_owner_incident import (
+    FORMER_TERM,
     INCARNATIONS,
+    SERVICE,
+    Leader,
+    OneLog,
     Servers,
     ServersClient,
     Site,
+    _put,
 )
 
 
@@ -130,3 +138,31 @@
             assert reported >= remaining > 0
 
         run_virtual(run())
+
+
+class TestTermWithAnUnreadableMap:
+    """A leader that can't read a map passes on what earlier leaders may have granted by it."""
+
+    @pytest.mark.parametrize("resigned", [True, False])
+    def test_resignation_reports_what_the_term_inherited(self, resigned: bool):
+        async def run() -> None:
+            shared = OneLog(repeats_first=True)
+            _put(shared, map_key(SERVICE), b"nonsense")
+            long_for = 6_000 if resigned else 0
+            former = dataclasses.replace(FORMER_TERM, resigned=resigned, long_for=long_for)
+            _put(shared, TERM_KEY, former.encode())
+            clock = NodeClock()
+            started_at = clock.now()
+            leader = Leader(shared, clock, Servers(clock), (SERVICE,))
+            await leader.wait_leading()
+            won_at = leader.service.leadership.won_at
+            await leader.service.resign()
+            records = shared.partition(STATE_STREAM).records
+            term = Term.decode([item for item in records if item.key == TERM_KEY][-1].value)
+            leader.close()
+            ends_at = won_at + LEASE_DURATION_MS + EXTENDED_GRANT_DURATION_MS
+            if resigned:
+                ends_at = started_at + long_for
+            assert term.long_for >= ends_at - clock.now()
+
+        run_virtual(run())
