Don't take up an ended term again when its record is read again

A daemon whose term had ended led it again after reading its record once more, as from a listing that had been under way. Its appends began at the first sequence number again and counted as repeats: they returned without being written, and it granted keys by a map that was not on the log. Found by the review.

The number of the own term that ended is kept, and sequence numbers never go back.

TestOwnTermThatEnded (both kinds of store) failed before.

--- a/src/fuchsiatrack/ranges/leadership.py
+++ b/src/fuchsiatrack/ranges/leadership.py
@@ -146,6 +146,9 @@
         if term.resigned and term.number == self._current.number:
             now = self._clock.now()
             self.resigned_term = EndedTerm(term.number, now + term.sending_for, now + term.long_for)
+        if term.number == self._ended_own_term:
+            # The record of a term that this daemon has ended can be read again.
+            term = dataclasses.replace(term, vm="", incarnation="")
         held_term, self._current = self.holds_term, term
         self._leader_seen_at = self._clock.now()
         self._term_changed.set()
@@ -339,10 +342,10 @@
         writer = Writer(WRITER_NAME, term, _first_sequence(term))
         try:
             end = await self._log_service.append(STATE_STREAM, (), writer=writer)
+            self._state_end = end
         except Fenced as error:
             self._end_term(str(error))
             return
-            self._state_end = end
         except (AppendRefused, PlatformUnavailable) as error:
             self._record_renewal_failure(str(error))
             await self._clock.sleep(RENEWAL_RETRY_DELAY_MS)
@@ -394,7 +397,7 @@
         self._renewed_at = sent_at
         self._renewal_failing_since = None
         if self.holds_term and self.won_at < 0:
-            self._sequence = _first_sequence(self._current.number)
+            self._sequence = max(self._sequence, _first_sequence(self._current.number))
             self.won_at = self._clock.now()
             log.info("term won", extra={"term": self._current.number})
 
@@ -405,6 +408,8 @@
 
     def _end_term(self, reason: str) -> None:
         log.warning("term lost", extra={"term": self._current.number, "why": reason})
+        if self.holds_term:
+            self._ended_own_term = self._current.number
         self._current = dataclasses.replace(self._current, incarnation="", vm="")
         self._leader_seen_at = self._clock.now()
         self.won_at = -1
--- a/tests/test_leader_succession.py
+++ b/tests/test_leader_succession.py
@@ -25,6 +25,7 @@
     Servers,
     ServersClient,
     Site,
+    Voter,
     _put,
 )
 
@@ -166,3 +167,23 @@
             assert term.long_for >= ends_at - clock.now()
 
         run_virtual(run())
+
+
+class TestOwnTermThatEnded:
+    """A daemon that has ended its term doesn't take it up again."""
+
+    @pytest.mark.parametrize("repeats_first", [True, False])
+    def test_record_that_is_read_again_does_not_revive_the_term(self, repeats_first: bool):
+        async def run() -> None:
+            voter = Voter(OneLog(repeats_first), "vm-1")
+            await voter.wait_leading()
+            record = voter.leadership.current.encode()
+            voter.leadership.observe_term(2)
+            voter.leadership.apply_term_record(record)
+            assert not voter.leadership.holds_term
+            await asyncio.sleep(0.5)
+            assert not voter.leadership.has_valid_lease()
+            for task in voter.tasks:
+                task.cancel()
+
+        run_virtual(run())
