Cap nothing by notices that leave out what the leader inherited

While daemons of two builds run, a notice of the former build states only its leader's own extended grants; with it the next leader took grants that a leader before may still send for over 6 s too early.

A record or notice without sending_for caps nothing.

--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -29,7 +29,7 @@
     decode_notices,
     encode_notices,
 )
-from fuchsiatrack.ranges.records import UNKNOWN_SENDING_MS
+from fuchsiatrack.ranges.records import UNKNOWN_REMAINING_MS, decode_remaining
 
 # Time between reports; the leader counts as unresponsive after three lost reports.
 REPORT_PERIOD_MS = 300
@@ -175,7 +175,7 @@
 
     term: int
     extended_grants_remaining: int
-    sending_remaining: int = UNKNOWN_SENDING_MS
+    sending_remaining: int = UNKNOWN_REMAINING_MS
 
     def encode(self) -> bytes:
         """Return the notice as JSON."""
@@ -191,11 +191,7 @@
     def decode(cls, data: bytes) -> TermEndNotice:
         """Return the notice encoded in *data*; raise ValueError if it encodes none."""
         body = decode_object(data)
-        return cls(
-            natural(body, "ended_term"),
-            natural(body, "long_for"),
-            natural(body, "sending_for") if "sending_for" in body else UNKNOWN_SENDING_MS,
-        )
+        return cls(natural(body, "ended_term"), *decode_remaining(body))
 
 
 class MembershipTracker:
--- a/src/fuchsiatrack/ranges/records.py
+++ b/src/fuchsiatrack/ranges/records.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 import json
+from collections.abc import Mapping
+from typing import Any
 
 from fuchsiatrack.control.compactedlog import Stream
 from fuchsiatrack.kernel.fields import decode_object, field, natural
@@ -16,8 +18,20 @@
 TERM_KEY = "term"
 LEASE_KEY = "lease"
 WRITER_NAME = "leader"
-# Assumed where a record or notice doesn't state it; longer than any lease.
-UNKNOWN_SENDING_MS = 60_000
+# Assumed of grants where a record or notice doesn't state both times; longer than any grant.
+UNKNOWN_REMAINING_MS = 60_000
+
+
+def decode_remaining(body: Mapping[str, Any]) -> tuple[int, int]:
+    """Return the values of `long_for` and `sending_for` in milliseconds.
+
+    A daemon that states only `long_for` doesn't include what it inherited.
+    Raise ValueError if either is malformed.
+    """
+    long_for = natural(body, "long_for")
+    if "sending_for" not in body:
+        return UNKNOWN_REMAINING_MS, UNKNOWN_REMAINING_MS
+    return long_for, natural(body, "sending_for")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,8 +65,7 @@
             field(body, "incarnation", str),
             field(body, "report_address", str),
             field(body, "resigned", bool),
-            natural(body, "long_for"),
-            natural(body, "sending_for") if "sending_for" in body else UNKNOWN_SENDING_MS,
+            *decode_remaining(body),
         )
 
 
--- a/tests/test_leader_succession.py
+++ b/tests/test_leader_succession.py
@@ -9,11 +9,13 @@
 import pytest
 
 from fuchsiatrack.kernel.errors import PlatformUnavailable
+from fuchsiatrack.peers.loadreports import TermEndNotice
 from fuchsiatrack.ranges.grantrenewer import EXTENDED_GRANT_DURATION_MS, GRANT_DURATION_MS
+from fuchsiatrack.ranges.inheritedgrants import GrantTimings, InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
 from fuchsiatrack.ranges.ownershipcache import map_key
-from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, Term
+from fuchsiatrack.ranges.records import STATE_STREAM, TERM_KEY, EndedTerm, Term
 from tests.fakes import NodeClock, run_virtual
 from tests.leaderfleet import Fate, LeaderFleet, _call_later, quiet, run_fleet
 from tests.test_owner_incident import (
@@ -187,3 +189,21 @@
                 task.cancel()
 
         run_virtual(run())
+
+
+class TestNoticesOfOlderBuilds:
+    """A notice without what the leader inherited says nothing of how long grants last."""
+
+    def test_notice_without_earlier_leaders_caps_nothing(self):
+        async def run() -> None:
+            clock = NodeClock()
+            inherited = InheritedGrants(clock, GrantTimings(2_500, 600, 4_000, 7_500))
+            before = inherited.arrive_by, inherited.valid_until
+            notice = TermEndNotice.decode(b'{"ended_term": 4, "long_for": 0}')
+            now = clock.now()
+            inherited.cap(
+                EndedTerm(4, now + notice.sending_remaining, now + notice.extended_grants_remaining)
+            )
+            assert (inherited.arrive_by, inherited.valid_until) == before
+
+        run_virtual(run())
