--- a/src/fuchsiatrack/directory/servers.py
+++ b/src/fuchsiatrack/directory/servers.py
@@ -180,16 +180,12 @@
         """Return the number of entries in each state."""
         return collections.Counter(map(self.state_of, self._entries.values()))
 
-    def last_known(self, incarnation: ServerIncarnation) -> ServerEntry | None:
-        """Return the last entry of *incarnation*, which is no longer listed, or None."""
-        return self._former_entries.get(incarnation)
-
     def latest_entry(self, incarnation: ServerIncarnation) -> ServerEntry | None:
         """Return the latest entry of *incarnation*, even if it is no longer listed."""
         entry = self._entries.get(incarnation.server)
         if entry is not None and entry.incarnation == incarnation:
             return entry
-        return self.last_known(incarnation)
+        return self._former_entries.get(incarnation)
 
     def put(self, entry: ServerEntry, context: ReadContext) -> None:
         """Add or update the entry of a server."""
--- a/src/fuchsiatrack/ranges/controller.py
+++ b/src/fuchsiatrack/ranges/controller.py
@@ -68,9 +68,9 @@
     """
 
     successor: ServerIncarnation
-    reason: ReleaseReason
     grants_remaining: int
-    handover: str = ""
+    reason: ReleaseReason
+    handover: str
 
 
 class RangeController(OwnershipView):
@@ -78,8 +78,7 @@
 
     *ownership* is the latest map of the service on the log. *moving_since* returns when this
     daemon first saw that a range is moving, *save* appends a map to the log, and *limits* has the
-    limits that servers named. *inherited* bounds the grants of earlier leaders, by default those of
-    leaders whose leases may have been valid until now.
+    limits that servers named. *inherited* bounds the grants of earlier leaders.
     Times are in milliseconds.
     """
 
@@ -96,7 +95,7 @@
         moving_since: Callable[[OwnedRange], int],
         save: Callable[[OwnershipMap], Awaitable[None]],
         limits: LimitRegistry,
-        inherited: InheritedGrants | None = None,
+        inherited: InheritedGrants,
     ) -> None:
         self._service = service
         self._limits = limits
@@ -143,12 +142,6 @@
         """See `GrantRenewer.apply_inherited_bounds`."""
         self._renewer.apply_inherited_bounds()
 
-    def cap_inherited_grants(
-        self, extended_grants_remaining: int, sending_remaining: int = 0
-    ) -> None:
-        """See `GrantRenewer.cap_inherited_grants`."""
-        self._renewer.cap_inherited_grants(extended_grants_remaining, sending_remaining)
-
     async def run(self) -> None:
         """Control the service until the term ends or the task is cancelled."""
         plans = asyncio.create_task(self._run_plans())
@@ -373,25 +366,25 @@
 
         Return None if the term ends first.
         """
-        owner, remaining = item.owner.server, 0
-        reason, handover = ReleaseReason.EXPIRED, ""
+        remaining, outcome = 0, (ReleaseReason.EXPIRED, "")
         while self._leadership.holds_term:
-            moving = self._map.find(item.first) or item
+            moving, now = self._map.find(item.first) or item, self._clock.now()
             successor = moving.successor or item.owner
-            now = self._clock.now()
-            if self._tracker.free_at(item.first, item.last, successor.server) <= now:
+            free_at = self._tracker.free_at(item.first, item.last, successor.server)
+            if free_at <= now:
                 if self._tracker.holders(item.first, item.last):
-                    reason = ReleaseReason.SAME_SERVER
-                return _Release(successor, reason, remaining, handover)
-            remaining = self._tracker.free_at(item.first, item.last, successor.server) - now
-            settled_in = self._tracker.settled_at(owner, item.first, item.last) - now
-            if settled_in > 0:
-                await self._clock.sleep(min(settled_in, RETRY_DELAY_MS))
+                    outcome = ReleaseReason.SAME_SERVER, ""
+                return _Release(successor, remaining, *outcome)
+            remaining, outcome = free_at - now, (ReleaseReason.EXPIRED, "")
+            settled_at = self._tracker.settled_at(item.owner.server, item.first, item.last)
+            if settled_at > now:
+                await self._clock.sleep(min(settled_at - now, RETRY_DELAY_MS))
                 continue
-            reason, handover = await self._try_release(item)
+            attempt = await self._try_release(item)
             if self._tracker.holders(item.first, item.last).keys() - {successor.server}:
-                reason = ReleaseReason.EXPIRED
                 await self._clock.sleep(RETRY_DELAY_MS)
+            else:
+                outcome = attempt
         return None
 
     async def _try_release(self, item: OwnedRange) -> tuple[ReleaseReason, str]:
--- a/src/fuchsiatrack/ranges/grantrenewer.py
+++ b/src/fuchsiatrack/ranges/grantrenewer.py
@@ -22,7 +22,6 @@
 from fuchsiatrack.ranges.inheritedgrants import GrantTimings, InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import OwnedRange, OwnershipMap
-from fuchsiatrack.ranges.records import EndedTerm
 
 # Outlasts the loss of a leader including the takeover, and bounds how long the keys of a lost
 # server are unavailable.
@@ -95,18 +94,17 @@
         clock: Clock,
         max_grant_duration: int,
         view: OwnershipView,
-        inherited: InheritedGrants | None = None,
+        inherited: InheritedGrants,
     ) -> None:
         self._service = service
         self._leadership = leadership
         self._directory = directory
         self._grant_client = grant_client
         self._clock = clock
-        timings = grant_timings(max_grant_duration)
-        self._extended_duration = timings.extended
+        self._extended_duration = grant_timings(max_grant_duration).extended
         # Of the extended grants of this leader alone.
         self._extended_until = clock.now()
-        self._inherited = inherited or InheritedGrants(clock, timings)
+        self._inherited = inherited
         self._view = view
         self._renewal_tasks: dict[ServerIncarnation, asyncio.Task] = {}
         self._wake_events: dict[ServerIncarnation, asyncio.Event] = {}
@@ -145,18 +143,6 @@
         """
         return max(0, self._extended_until - self._clock.now(), self._inherited.valid_remaining)
 
-    def cap_inherited_grants(
-        self, extended_grants_remaining: int, sending_remaining: int = 0
-    ) -> None:
-        """Cap the grants of earlier leaders; the previous leader has stopped granting.
-
-        *extended_grants_remaining* is the value that it reported, and *sending_remaining* for how
-        long leaders before it may still send grants.
-        """
-        now = self._clock.now()
-        self._inherited.cap(EndedTerm(0, now + sending_remaining, now + extended_grants_remaining))
-        self.apply_inherited_bounds()
-
     def apply_inherited_bounds(self) -> None:
         """Apply what is known of earlier leaders to the recorded grants."""
         self.tracker.cap_inherited(self._inherited.arrive_by, self._inherited.valid_until)
@@ -269,6 +255,7 @@
                 await self._raise_fence(item, str(error))
             except KeysNotFree as error:
                 log.error("grant withheld", extra={"server": entry.id, "why": str(error)})
+                return False
         return True
 
     def _renewable_ranges(self, incarnation: ServerIncarnation) -> list[OwnedRange]:
--- a/src/fuchsiatrack/ranges/inheritedgrants.py
+++ b/src/fuchsiatrack/ranges/inheritedgrants.py
@@ -46,11 +46,6 @@
         """The time after which no grant of an earlier leader is valid."""
         return self._valid_until
 
-    @property
-    def sending_remaining(self) -> int:
-        """For how many milliseconds earlier leaders may still send grants."""
-        return max(0, self._arrive_by - self._clock.now())
-
     @property
     def valid_remaining(self) -> int:
         """For how many milliseconds grants of earlier leaders may still be valid."""
--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -44,12 +44,17 @@
     RangeGrantClient,
     WrongServer,
 )
-from fuchsiatrack.ranges.grantrenewer import EXTENDED_GRANT_DURATION_MS, GRANT_TIMEOUT_MS
+from fuchsiatrack.ranges.grantrenewer import (
+    EXTENDED_GRANT_DURATION_MS,
+    GRANT_TIMEOUT_MS,
+    grant_timings,
+)
+from fuchsiatrack.ranges.inheritedgrants import InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap, divide_evenly
 from fuchsiatrack.ranges.ownershipcache import OwnershipCache, map_key
 from fuchsiatrack.ranges.planner import BalancedPlanner
-from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM, TERM_KEY, Term
+from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM, TERM_KEY, EndedTerm, Term
 from tests.fakes import NodeClock, run_virtual
 from tests.fleet import free_port
 from tests.test_ranges import FakeLeadership, SavedMaps
@@ -232,6 +237,7 @@
     def start_leader(self) -> None:
         """Start a controller with the latest map of the log."""
         self.leadership = FakeLeadership()
+        self.inherited = InheritedGrants(self.clock, grant_timings(MAX_GRANT_MS))
         self.controller = RangeController(
             SERVICE,
             self.leadership,
@@ -244,9 +250,16 @@
             lambda item: self.clock.now(),
             self.saved.save,
             LimitRegistry(lambda server: True),
+            self.inherited,
         )
         self.task = asyncio.create_task(self.controller.run())
 
+    def notify_leader(self, extended_grants_remaining: int) -> None:
+        """Let the former leader's notice arrive, which states what is left in milliseconds."""
+        now = self.clock.now()
+        self.inherited.cap(EndedTerm(1, now, now + extended_grants_remaining))
+        self.controller.apply_inherited_bounds()
+
     def stop_leader(self) -> None:
         """End the term of the controller."""
         self.leadership.holds_term = False
@@ -372,7 +385,7 @@
             site.stop_leader()
             await site.wait(300)
             site.start_leader()
-            site.controller.cap_inherited_grants(0)
+            site.notify_leader(0)
             await site.wait(12_000)
             site.check()
 
@@ -426,7 +439,7 @@
     def test_notice_leaves_the_new_leaders_own_grants(self, remaining: int):
         async def run():
             site = await self._start_with_extended_grants()
-            site.controller.cap_inherited_grants(remaining)
+            site.notify_leader(remaining)
             await site.wait(14_000)
             site.check()
 
@@ -435,7 +448,7 @@
     def test_notice_leaves_what_the_new_leader_reports_itself(self):
         async def run():
             site = await self._start_with_extended_grants()
-            site.controller.cap_inherited_grants(0)
+            site.notify_leader(0)
             longest = max(
                 item.expires_at for life in site.servers.lives.values() for item in life.grants
             )
@@ -447,12 +460,12 @@
     def test_grants_of_a_leader_that_got_a_late_notice_are_inherited(self):
         async def run():
             site = await self._start_with_extended_grants()
-            site.controller.cap_inherited_grants(0)
+            site.notify_leader(0)
             await site.wait(700)
             remaining = site.controller.extended_grants_remaining
             site.stop_leader()
             site.start_leader()
-            site.controller.cap_inherited_grants(remaining)
+            site.notify_leader(remaining)
             await site.wait(14_000)
             site.check()
 
@@ -467,7 +480,7 @@
             site.stop_leader()
             site.servers.cut.add(self.address)
             site.start_leader()
-            site.controller.cap_inherited_grants(0)
+            site.notify_leader(0)
             await site.wait(4_080 + 600 + 500)
             await site.wait_for_holders(500)
             site.check()
--- a/tests/test_range_faults.py
+++ b/tests/test_range_faults.py
@@ -17,6 +17,7 @@
 from fuchsiatrack.ranges import grantrenewer
 from fuchsiatrack.ranges.controller import RangeController
 from fuchsiatrack.ranges.grantclient import GrantRefused, NotDelivered, OutcomeUnknown
+from fuchsiatrack.ranges.inheritedgrants import InheritedGrants
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnershipMap
 from fuchsiatrack.ranges.planner import BalancedPlanner
 from tests.test_ranges import INCARNATIONS, FakeLeadership, FakeRangeGrantClient, SavedMaps, _entry
@@ -122,6 +123,7 @@
             lambda item: self.clock.now(),
             self.saved.save,
             LimitRegistry(lambda server: True),
+            InheritedGrants(self.clock, grantrenewer.grant_timings(EXTENDED_GRANT_MS)),
         )
         self.task = asyncio.create_task(self.controller.run())
 
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -31,6 +31,7 @@
 )
 from fuchsiatrack.ranges.grantrenewer import GrantRenewer, OwnershipView
 from fuchsiatrack.ranges.granttracker import GrantTracker, KeysNotFree
+from fuchsiatrack.ranges.inheritedgrants import InheritedGrants
 from fuchsiatrack.ranges.leadership import LEASE_DURATION_MS, Leadership, NotLeading
 from fuchsiatrack.ranges.load import KeyLoad, KeyRates, ServiceTimes
 from fuchsiatrack.ranges.ownership import LAST_KEY, OwnedRange, OwnershipMap, divide_evenly
@@ -783,6 +784,7 @@
             lambda item: clock.now(),
             saved.save,
             LimitRegistry(lambda server: True),
+            InheritedGrants(clock, grantrenewer.grant_timings(1_500)),
         )
         task = asyncio.create_task(controller.run())
         yield grant_client, leadership, directory, saved
@@ -968,7 +970,16 @@
         for incarnation in INCARNATIONS:
             directory.put(_entry(incarnation), ReadContext())
         grant_client, view = FakeRangeGrantClient(clock), FixedView(current, pending)
-        renewer = GrantRenewer("stock", leadership, directory, grant_client, clock, 9_000, view)
+        renewer = GrantRenewer(
+            "stock",
+            leadership,
+            directory,
+            grant_client,
+            clock,
+            9_000,
+            view,
+            InheritedGrants(clock, grantrenewer.grant_timings(9_000)),
+        )
         renewer.update_renewal_tasks()
         return renewer, grant_client, leadership
 
