Keep two sequences after which keys are free for too long

Drawn by the search for bounds on: 3,100 ms after the listing of a server that restarts at another address with a clock set back, 11,024 ms of calm after a server and the leader end together.

--- a/tests/test_ownership_sequences.py
+++ b/tests/test_ownership_sequences.py
@@ -559,9 +559,9 @@
 }
 
 
-def _play_kept(steps: list[Step]) -> None:
+def _play_kept(steps: list[Step], check: Callable[[LeaderFleet], None]) -> None:
     """Play *steps*, and return nothing, since a fleet stays in its process."""
-    play(steps)
+    play(steps, check)
 
 
 def _search(name: str, check: Callable[[LeaderFleet], None], part: float = 1) -> None:
@@ -621,12 +621,26 @@
 }
 
 
+# Sequences after which keys had no holder for too long.
+KEPT_DELAYS = {
+    "restart_at_another_address_by_an_earlier_clock": [
+        RestartServer(0, entry_delay=600, born_shift=-3_600_000, moves=True),
+        Wait(3_000),
+    ],
+    "server_and_leader_lost_together": [StopServer(0), RestartDaemon("leader", 1_200)],
+}
+
+
 class TestSequences:
     """Whatever happens, one server holds a key, under a fence above all earlier ones."""
 
     @pytest.mark.parametrize("name", KEPT_SEQUENCES)
     def test_kept_sequence(self, name: str, call_reproducibly):
-        call_reproducibly(_play_kept, KEPT_SEQUENCES[name])
+        call_reproducibly(_play_kept, KEPT_SEQUENCES[name], LeaderFleet.check_holders)
+
+    @pytest.mark.parametrize("name", KEPT_DELAYS)
+    def test_kept_delay(self, name: str, call_reproducibly):
+        call_reproducibly(_play_kept, KEPT_DELAYS[name], LeaderFleet.check_bounds)
 
     @pytest.mark.parametrize("name", SEARCHES)
     def test_no_key_has_two_holders(self, name: str, call_reproducibly):
