--- a/tests/leaderfleet.py
+++ b/tests/leaderfleet.py
@@ -61,11 +61,13 @@
     LEASE_DURATION_MS,
 )
 from fuchsiatrack.ranges.ownership import LAST_KEY
+from fuchsiatrack.ranges.records import LEASE_STREAM, STATE_STREAM
 from tests.fakes import NodeClock, VirtualLoop
 
 SERVICE = "stock"
 SERVERS_STREAM = Stream("servers")
 STORE = "store"
+STREAM_NAMES = {STATE_STREAM: "state", LEASE_STREAM: "lease", SERVERS_STREAM: "servers"}
 # The users' platform specifies these: MaxHold, Drain, Contact, ThawSlack, ReuseAfter, and the time
 # after which the entry of a silent server is removed (three heartbeats).
 MAX_HOLD_MS = 10_000
@@ -258,13 +260,10 @@
             self._heal(source, target, cut)
         self._fates.clear()
 
-    def was_disturbed(self, one: str, other: str) -> bool:
-        """Return whether the link between *one* and *other* is cut or has just been healed."""
-        links = ((one, other), (other, one))
-        return any(
-            link in self._cuts or _now() - self._healed_at.get(link, -10_000) <= THAW_SLACK_MS
-            for link in links
-        )
+    def was_just_healed(self, source: str, target: str) -> bool:
+        """Return whether a cut from *source* to *target* ended within `THAW_SLACK_MS`."""
+        healed_at = self._healed_at.get((source, target))
+        return healed_at is not None and _now() - healed_at <= THAW_SLACK_MS
 
     def add_fate(self, kind: str, endpoint: str, fate: Fate) -> None:
         """Let *fate* happen to the next message of *kind* that *endpoint* sends or receives."""
@@ -292,10 +291,6 @@
         elif cut.holds_messages:
             _call_later(cut.ends_at - _now() + 1, self._arrive, source, target, deliver)
 
-    def is_cut(self, source: str, target: str) -> bool:
-        """Return whether nothing passes from *source* to *target*."""
-        return (source, target) in self._cuts
-
     async def call(
         self,
         source: str,
@@ -480,7 +475,9 @@
 
     async def newest(self, stream: Stream, attempt: Attempt | None = None) -> CompactedPage:
         return await self._call(
-            lambda respond: respond(self._service.newest(stream)), READ_TIMEOUT_MS
+            lambda respond: respond(self._service.newest(stream)),
+            READ_TIMEOUT_MS,
+            self._take_fate("read", stream),
         )
 
     async def read(
@@ -489,6 +486,7 @@
         return await self._call(
             lambda respond: self._service.read(stream, first, wait, respond),
             wait + READ_TIMEOUT_MS,
+            self._take_fate("read", stream),
         )
 
     async def append(
@@ -500,7 +498,7 @@
         writer: Writer | None = None,
     ) -> int:
         rows = tuple(records)
-        fate = self._network.take_fate(f"append {stream.part}", self._host.name)
+        fate = self._take_fate("append", stream)
         if fate.is_refused:
             await asyncio.sleep(2 * DELAY_MS / 1_000)
             raise AppendRefused("append returned status 503")
@@ -513,7 +511,11 @@
             raise response
         return response
 
-    async def _call(self, serve: Callable, timeout: int, fate: Fate = NO_FAULT) -> Any:
+    def _take_fate(self, kind: str, stream: Stream) -> Fate:
+        name = STREAM_NAMES[stream]
+        return self._network.take_fate(f"{kind} {name}", self._host.name)
+
+    async def _call(self, serve: Callable, timeout: int, fate: Fate) -> Any:
         try:
             async with asyncio.timeout(timeout / 1_000):
                 return await self._network.call(self._host.name, STORE, serve, fate)
@@ -905,6 +907,8 @@
         self._disturbances: list[tuple[int, int, str]] = []
         # For how long keys of each restarted server had no holder, counted from its listing.
         self.restart_gaps: list[int] = []
+        # The bounds on that, or on the time after the last disturbance, that were exceeded.
+        self.exceeded_bounds: list[str] = []
 
     async def start(self) -> None:
         """Start all servers and daemons, and wait until every key has a holder."""
@@ -912,12 +916,18 @@
             self.start_server(name, f"a-{name}")
         for name in self._daemon_names:
             await self.start_daemon(name)
-        await self.wait_until(lambda: not self.free_keys(), CALM_BOUND_MS)
+        if await self.wait_until(lambda: not self.free_keys(), CALM_BOUND_MS) is None:
+            raise AssertionError(f"keys have no holder {CALM_BOUND_MS} ms after the start")
 
     def report_address(self, daemon: str) -> tuple[str, int]:
         """Return where *daemon* receives reports."""
         return f"10.0.0.{self._daemon_names.index(daemon) + 1}", 7_000
 
+    @property
+    def now(self) -> int:
+        """The virtual time in milliseconds."""
+        return _now()
+
     def note(self, event: str) -> None:
         """Add *event* to the trace."""
         self.events.append(f"{_now()} {event}")
@@ -942,14 +952,18 @@
         ]
         return max(leading, key=lambda item: item.service.leadership.current.number, default=None)
 
-    def find_daemon(self, name: str) -> Daemon:
-        """Return the daemon called *name*, which may be "leader" or "follower"."""
+    def find_daemons(self, name: str) -> list[Daemon]:
+        """Return the daemon called *name*, the "leader", a "follower", all "followers" or "all"."""
         if name in self.daemons:
-            return self.daemons[name]
+            return [self.daemons[name]]
         leader = self.leader or self.daemons[self._daemon_names[0]]
-        if name == "leader":
-            return leader
-        return next(item for item in self.daemons.values() if item is not leader)
+        followers = [item for item in self.daemons.values() if item is not leader]
+        return {
+            "leader": [leader],
+            "follower": followers[:1],
+            "followers": followers,
+            "all": [leader, *followers],
+        }.get(name, [leader])
 
     async def start_daemon(self, name: str) -> None:
         """Start a daemon on the VM *name*."""
@@ -957,13 +971,17 @@
         self.daemons[name] = daemon = Daemon(self, name, number, number)
         await daemon.start()
 
+    def end_daemon(self, daemon: Daemon) -> None:
+        """End *daemon* without notice."""
+        self.note(f"{daemon.name} ends")
+        daemon.kill()
+        self._ended.append(daemon)
+
     def restart_daemon(self, daemon: Daemon, down: int) -> None:
         """End *daemon* without notice, and start another one on its VM after *down*."""
         if daemon in self._ended:
             return
-        self.note(f"{daemon.name} ends")
-        daemon.kill()
-        self._ended.append(daemon)
+        self.end_daemon(daemon)
         self.record_disturbance(down)
         loop = asyncio.get_running_loop()
         _call_later(
@@ -980,7 +998,7 @@
         _call_later(duration, self._resume, daemon)
 
     def _resume(self, daemon: Daemon) -> None:
-        if daemon not in self._ended:
+        if daemon not in self._ended and daemon.host.is_suspended:
             self.note(f"{daemon.name} runs")
             daemon.host.resume()
 
@@ -1079,7 +1097,7 @@
         """Let *process* take *grant*; return False if it refuses."""
         is_counted = not (
             arrived_at - sender.resumed_at <= THAW_SLACK_MS
-            or self.network.was_disturbed(sender.name, process.address)
+            or self.network.was_just_healed(sender.name, process.address)
         )
         is_accepted = process.accept(grant, arrived_at, is_counted)
         self.note(
@@ -1123,42 +1141,48 @@
             if is_disturbed or not process.is_up or self.leader is not leader:
                 return
             if _now() - listed_at > RESTART_BOUND_MS:
-                self.audit.violations.append(
+                self.exceeded_bounds.append(
                     f"{_now()} ms: keys of {earlier} are free {RESTART_BOUND_MS} ms after"
                     f" {leader.name} listed {process}"
                 )
                 return
         self.restart_gaps.append(_now() - listed_at)
 
-    def check(self) -> None:
-        """Fail with the latest events if a rule was broken."""
+    def check_holders(self) -> None:
+        """Fail with the latest events if a key had two holders, or a fence didn't rise."""
         if self.audit.violations:
             raise AssertionError("\n".join((*self.events[-60:], *self.audit.violations[:5])))
 
+    def check_bounds(self) -> None:
+        """Fail with the latest events if keys had no holder for too long."""
+        if self.exceeded_bounds:
+            raise AssertionError("\n".join((*self.events[-60:], *self.exceeded_bounds)))
+
     async def wait(self, duration: int) -> None:
         """Let *duration* pass."""
         await asyncio.sleep(duration / 1_000)
-        self.check()
 
-    async def wait_until(self, condition: Callable[[], bool], limit: int) -> int:
-        """Return for how long *condition* did not hold; fail if that is more than *limit*."""
+    async def wait_until(self, condition: Callable[[], bool], limit: int) -> int | None:
+        """Return for how long *condition* did not hold, or None if that is more than *limit*."""
         started_at = _now()
         while not condition():
             if _now() - started_at > limit:
-                trace = "\n".join(self.events[-60:])
-                raise AssertionError(f"{trace}\n{_now()} condition did not hold for {limit} ms")
+                return None
             await self.wait(10)
         return _now() - started_at
 
-    async def settle(self) -> int:
-        """End all disturbances; return for how long keys have no holder, which is bounded."""
+    async def settle(self) -> None:
+        """End all disturbances, and wait until every key has a holder."""
         self.network.heal()
         for daemon in self.daemons.values():
             self._resume(daemon)
         now = _now()
         await self.wait(max(0, *(until - now for _, until, _ in self._disturbances), 0))
         self.note("calm")
-        return await self.wait_until(lambda: not self.free_keys(), CALM_BOUND_MS)
+        if await self.wait_until(lambda: not self.free_keys(), CALM_BOUND_MS) is None:
+            self.exceeded_bounds.append(
+                f"{_now()} ms: no holder of {self.free_keys()} after {CALM_BOUND_MS} ms of calm"
+            )
 
     async def close(self) -> None:
         """End all daemons."""
