Give a daemon its share of the servers by the time it says that it is ready

What callers saw: a daemon that had just become ready, after a start or a restart, served 16 of 30 concurrent requests to four servers of 8 slots where a counted one serves 30.

Cause: it was ready as soon as it knew the configuration, servers and owners, but used the leader's count only from its third report on, and assumed 480 daemons until then. That rule (two report periods after the daemon heard of the term) was also unsafe: a leader that took long to begin its term gave out counts that lacked most daemons.

Change: - The leader tells with each acknowledgement whether its count is settled: it has led for 700 ms (1.4 s where daemons report that a former leader has counted them), and has counted this daemon for 700 ms. A count that isn't settled replaces only a smaller one. Acknowledgements of another term, and the one of a leader that resigns, no longer set a count (the latter lacks the leader itself). - A daemon reports as soon as it knows the leader. One that starts again on its VM within 3 s is still counted and gets its share with the first acknowledgement. - Readiness waits for the count, until no leader has responded for 600 ms and at most 2.5 s; requests that come before are served (`can_serve`). - Leaders and daemons of earlier builds are understood as before.

Not covered: daemons that the leader doesn't hear for 3 s (docs/DESIGN.md, "Number of daemons").

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -43,6 +43,10 @@
 # Longest wait for the next chunk of a request body.
 BODY_IDLE_TIMEOUT_MS = 10_000
 HOUSEKEEPING_INTERVAL_MS = 1_000
+# Longest time for which a daemon that can serve isn't ready because it hasn't been counted.  Beside
+# a leader that has just taken over it takes two settling times and one or two report periods.
+COUNT_WAIT_MAX_MS = 2_500
+COUNT_CHECK_INTERVAL_MS = 20
 
 log = logging.getLogger(__name__)
 
@@ -61,6 +65,7 @@
         self._rng = random.Random()
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
+        self._count_wait: asyncio.Task | None = None
         self._response_memory = ResponseMemory()
         self._connections = ConnectionPool(self._clock, self._response_memory)
         self._control_connections = ConnectionPool(self._clock, self._response_memory)
@@ -117,6 +122,15 @@
 
     @property
     def is_ready(self) -> bool:
+        """Whether this daemon can serve, and knows its share of what all daemons share.
+
+        It doesn't wait for its share without a leader that responds, nor for long.
+        """
+        has_awaited_count = self._count_wait is not None and self._count_wait.done()
+        return self.can_serve and has_awaited_count
+
+    @property
+    def can_serve(self) -> bool:
         """Whether the configuration, the servers and the owners are known."""
         table = self._configuration.current
         if table is None or not self._consumers["directory"].caught_up.is_set():
@@ -140,6 +154,7 @@
         jobs = [*(item.run() for item in self._consumers.values()), *self._range_service.jobs()]
         jobs += [self._directory.run(), self._run_housekeeping()]
         self._tasks = [asyncio.create_task(self._supervise(job)) for job in jobs]
+        self._count_wait = asyncio.create_task(self._supervise(self._await_count()))
         await self._stop.wait()
         await self._shut_down()
 
@@ -171,6 +186,8 @@
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
+        if self._count_wait is not None:
+            self._count_wait.cancel()
         self._range_service.close()
         await self._readiness.stop()
         await self._metrics_endpoint.stop()
@@ -233,7 +250,7 @@
             metrics=self._metrics,
             traffic=self._traffic,
             table=lambda: self._configuration.current,
-            is_ready=lambda: self.is_ready,
+            is_ready=lambda: self.can_serve,
             find_selector=self._find_selector,
             daemon_count=lambda: self._range_service.daemon_count,
             record_key=self._range_service.record_key,
@@ -258,6 +275,14 @@
         all_caught_up = all(item.caught_up.is_set() for item in self._consumers.values())
         return all_caught_up and self._configuration.current is not None and not self._stop.is_set()
 
+    async def _await_count(self) -> None:
+        """Wait until this daemon can serve and a leader has counted it, as far as one responds."""
+        while not self.can_serve:
+            await self._clock.sleep(COUNT_CHECK_INTERVAL_MS)
+        deadline = self._clock.now() + COUNT_WAIT_MAX_MS
+        while self._range_service.awaits_count and self._clock.now() < deadline:
+            await self._clock.sleep(COUNT_CHECK_INTERVAL_MS)
+
     # Maintenance
 
     def _reload(self) -> None:
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -22,6 +22,7 @@
 from fuchsiatrack.limits.permits import UNCOUNTED_DAEMONS
 from fuchsiatrack.limits.registry import LimitRegistry
 from fuchsiatrack.limits.retryratio import RetryBudgetSettings
+from fuchsiatrack.peers.daemoncount import DaemonCount
 from fuchsiatrack.peers.loadreports import (
     LEAVING_PER_REPORT,
     REPORT_PERIOD_MS,
@@ -55,6 +56,8 @@
 MISROUTED_READ_INTERVAL_MS = 300
 # Without an acknowledgement for this long, no peer reports missed records to this daemon.
 ACK_TIMEOUT_MS = 1_200
+# A leader that sent no acknowledgement for this long isn't expected to count this daemon.
+COUNT_ACK_TIMEOUT_MS = 2 * REPORT_PERIOD_MS
 # Time for one append of the resignation, within the time in which a stopping daemon still accepts
 # requests anyway.
 RESIGN_TIMEOUT_MS = 1_000
@@ -129,7 +132,7 @@
         self._revisions_behind: dict[str, int] = {}
         self._last_notified_term = 0
         self._last_report_address = ""
-        self._counted_daemons: int | None = None
+        self._daemon_count = DaemonCount()
         own_term = Term(0, settings.vm, incarnation, str(settings.reports))
         self.leadership = Leadership(
             own_term,
@@ -156,12 +159,19 @@
     @property
     def daemon_count(self) -> int:
         """How many daemons share the connections of backend servers, as far as is known."""
-        return self._counted_daemons or UNCOUNTED_DAEMONS
+        return self._daemon_count.current or UNCOUNTED_DAEMONS
 
     @property
     def counted_daemons(self) -> int | None:
         """How many daemons a leader counted last, None if this daemon has heard of no count."""
-        return self._counted_daemons
+        return self._daemon_count.current
+
+    @property
+    def awaits_count(self) -> bool:
+        """Whether no leader has counted the daemons yet, and one may soon."""
+        heard_at = max(self._last_ack_at, self.leadership.term_changed_at)
+        is_leader_silent = self._clock.now() - heard_at >= COUNT_ACK_TIMEOUT_MS
+        return self.counted_daemons is None and not is_leader_silent
 
     def record_key(self, service: str, key: int) -> None:
         """Count a request for *key*."""
@@ -213,7 +223,7 @@
         # Reported as failing, so that a daemon that has not read the resignation claims the next
         # term without waiting for `LEADER_TIMEOUT_MS`.
         self._protocol.broadcast_ack(
-            ReportAck(term, len(addresses), renewal_failing=True), addresses
+            ReportAck(term, len(addresses), renewal_failing=True, settled=False), addresses
         )
 
     def close(self) -> None:
@@ -330,8 +340,12 @@
 
     async def _send_reports(self) -> None:
         """Send this daemon's load reports to the leader."""
+        has_reported = False
         while True:
-            await self._clock.sleep(REPORT_PERIOD_MS)
+            due_at = self._clock.now() + REPORT_PERIOD_MS
+            if not has_reported:
+                has_reported = await self._send_first_report(due_at)
+            await self._clock.sleep_until(due_at)
             if self._clock.now() - self._last_ack_at > ACK_TIMEOUT_MS:
                 self._consumer.set_pause(OWNERSHIP_READ_PAUSE_MS)
                 for consumer in self._consumers.values():
@@ -339,13 +353,31 @@
             term = self.leadership.current
             self._update_poll_modes(term)
             self._notify_previous_leader(term)
-            if not term.report_address or term.resigned:
-                continue
-            for report in self._create_reports(term.number):
-                if term.incarnation == self._incarnation:
-                    self._handle_local_ack(self._handle_report(report, None))
-                else:
-                    self._protocol.send(report, term.report_address)
+            self._report(term)
+
+    async def _send_first_report(self, deadline: int) -> bool:
+        """Report at once if a leader is known before *deadline*, and return whether one is.
+
+        It counts this daemon from then on.  Later reports keep their own times, so that those of
+        all daemons don't arrive at once.
+        """
+        while self._clock.now() < deadline:
+            term = self.leadership.current
+            if term.report_address and not term.resigned:
+                self._report(term)
+                return True
+            await self._clock.sleep(LEADERSHIP_CHECK_INTERVAL_MS)
+        return False
+
+    def _report(self, term: Term) -> None:
+        """Send this daemon's load reports to the leader of *term*, if it has one."""
+        if not term.report_address or term.resigned:
+            return
+        for report in self._create_reports(term.number):
+            if term.incarnation == self._incarnation:
+                self._handle_local_ack(self._handle_report(report, None))
+            else:
+                self._protocol.send(report, term.report_address)
 
     def _update_poll_modes(self, term: Term) -> None:
         """Let the leader poll often the streams whose offsets it acknowledges."""
@@ -392,6 +424,8 @@
                 LoadReport(vm, incarnation, term, offsets=self._offsets(), failure_domain=domain)
             ]
         leaving = self._directory.announced_departures[-LEAVING_PER_REPORT:]
+        is_uncounted = self.counted_daemons is None
+        reports = [dataclasses.replace(report, uncounted=is_uncounted) for report in reports]
         reports[0] = dataclasses.replace(reports[0], limits=limits, leaving=leaving)
         return reports
 
@@ -417,7 +451,8 @@
         self._limits.merge(report.limits, now)
         for incarnation in report.leaving:
             self._directory.record_leaving(incarnation)
-        self._membership.record_report(report.vm)
+        led_for = now - self.leadership.won_at
+        self._membership.record_report(report.vm, led_for, not report.uncounted)
         if address is not None:
             self._membership.record_address(report.vm, address, report.failure_domain)
             self._observe_peer_offsets(report.offsets)
@@ -434,6 +469,7 @@
             self._offsets(),
             self.ownership_cache.revisions,
             self._limits.notices(now),
+            self._membership.is_count_settled(report.vm, led_for),
         )
 
     def _respond_after_term(self, reported_term: int) -> TermEndNotice | None:
@@ -474,19 +510,17 @@
         self._last_ack_at = self._clock.now()
         if ack.term == self.leadership.current.number:
             self.permit_channel.record_ack(ack.limits is not None)
+            self._record_count(ack)
         self._limits.merge(ack.limits or (), self._clock.now())
         self._observe_peer_offsets(ack.offsets)
         self._observe_revisions(ack.revisions)
-        # A new leader has not yet received a report from every daemon.
-        is_count_complete = self._clock.now() - self._term_changed_at() > 2 * REPORT_PERIOD_MS
-        if is_count_complete:
-            self._record_count(max(1, ack.daemon_count))
 
-    def _record_count(self, daemon_count: int) -> None:
-        if daemon_count != self._counted_daemons:
-            fields = {"daemons": daemon_count, "before": self._counted_daemons}
-            log.info("daemon count changed", extra=fields)
-        self._counted_daemons = daemon_count
+    def _record_count(self, ack: ReportAck) -> None:
+        if ack.settled is not None:
+            self._daemon_count.record(ack.daemon_count, ack.settled)
+            return
+        known_for = self._clock.now() - self.leadership.term_changed_at
+        self._daemon_count.record(ack.daemon_count, known_for > 2 * REPORT_PERIOD_MS)
 
     def _observe_peer_offsets(self, offsets: Mapping[str, int]) -> None:
         """Compare a peer's offsets with those of this daemon's consumers."""
@@ -515,6 +549,3 @@
             is_current = self.ownership_cache.apply_change(notice.service, notice.change)
             if not is_current:
                 self._read_ownership_soon()
-
-    def _term_changed_at(self) -> int:
-        return self.leadership.term_changed_at
--- a/src/fuchsiatrack/peers/loadreports.py
+++ b/src/fuchsiatrack/peers/loadreports.py
@@ -38,6 +38,9 @@
 LEAVING_PER_REPORT = 50
 # A daemon that sent no report for this long is not counted.
 MEMBER_TIMEOUT_MS = 3_000
+# By then every daemon has reported to a new leader, or heard of what the leader counts, also if one
+# datagram was lost.
+COUNT_SETTLING_MS = 2 * REPORT_PERIOD_MS + 100
 # Larger ownership maps are not sent; daemons read them from the log service.
 MAX_DATAGRAM_BYTES = 60_000
 
@@ -60,7 +63,8 @@
     server id, and `offsets` the offset up to which the daemon has read each stream.
     `failure_domain` is that of the daemon, empty in reports of daemons before December 2026.
     `limits` has the limits that it knows, of servers of any service, and `leaving` the latest
-    servers that told it in a response that they leave.
+    servers that told it in a response that they leave.  `uncounted` is true until a leader has told
+    it the number of daemons, always false in reports of daemons before 6 December 2026.
     """
 
     vm: str
@@ -73,6 +77,7 @@
     failure_domain: str = ""
     limits: tuple[LimitNotice, ...] = ()
     leaving: tuple[ServerIncarnation, ...] = ()
+    uncounted: bool = False
 
     def encode(self) -> bytes:
         """Return the report as JSON."""
@@ -88,6 +93,7 @@
             "domain": self.failure_domain,
             **({"limits": encode_notices(self.limits)} if self.limits else {}),
             **({"leaving": leaving} if leaving else {}),
+            **({"uncounted": True} if self.uncounted else {}),
         }
         return json.dumps(body, separators=(",", ":")).encode()
 
@@ -114,6 +120,7 @@
                     ServerIncarnation(str(server), int(started_at))
                     for server, started_at in body.get("leaving", ())
                 ),
+                field(body, "uncounted", bool) if "uncounted" in body else False,
             )
 
 
@@ -124,7 +131,9 @@
     `term` is its term, `daemon_count` the number of daemons that report to it, `offsets` the offset
     up to which it has read each stream, and `revisions` the revision of each service's ownership
     map.  `renewal_failing` is true while its lease renewals fail.  `limits` has the limits that it
-    knows, None if it issues no permits, as leaders before 4 December 2026.
+    knows, None if it issues no permits, as leaders before 4 December 2026.  `settled` is whether
+    all daemons have had time to be counted, and to hear of a count that includes the one that
+    reported; None from leaders before 6 December 2026, which don't tell.
     """
 
     term: int
@@ -133,6 +142,7 @@
     offsets: Mapping[str, int] = dataclasses.field(default_factory=dict)
     revisions: Mapping[str, int] = dataclasses.field(default_factory=dict)
     limits: tuple[LimitNotice, ...] | None = None
+    settled: bool | None = None
 
     def encode(self) -> bytes:
         """Return the acknowledgement as JSON."""
@@ -146,6 +156,8 @@
         }
         if self.limits is not None:
             body["limits"] = encode_notices(self.limits)
+        if self.settled is not None:
+            body["settled"] = self.settled
         return json.dumps(body, separators=(",", ":")).encode()
 
     @classmethod
@@ -160,6 +172,7 @@
                 _decode_offsets(body["offsets"]),
                 _decode_offsets(body.get("revisions", {})),
                 decode_notices(body["limits"]) if "limits" in body else None,
+                field(body, "settled", bool) if "settled" in body else None,
             )
 
 
@@ -192,7 +205,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._last_report_at: dict[str, int] = {}
+        # When each was first counted, and when it last reported.
+        self._members: dict[str, tuple[int, int]] = {}
+        # When one last reported early in a term that it had been counted before.
+        self._counted_report_at: int | None = None
         self._addresses: dict[str, tuple[str, int]] = {}
         self._failure_domains: dict[tuple[str, int], str] = {}
 
@@ -203,7 +219,7 @@
         return tuple(
             address
             for vm, address in self._addresses.items()
-            if self._last_report_at.get(vm, 0) >= cutoff
+            if vm in self._members and self._members[vm][1] >= cutoff
         )
 
     def record_address(self, vm: str, address: tuple[str, int], failure_domain: str = "") -> None:
@@ -219,12 +235,35 @@
     def count(self) -> int:
         """Number of daemons that reported within `MEMBER_TIMEOUT_MS`."""
         cutoff = self._clock.now() - MEMBER_TIMEOUT_MS
-        self._last_report_at = {vm: at for vm, at in self._last_report_at.items() if at >= cutoff}
-        return len(self._last_report_at)
+        self._members = {vm: item for vm, item in self._members.items() if item[1] >= cutoff}
+        return len(self._members)
 
-    def record_report(self, vm: str) -> None:
-        """Record the arrival of a report of *vm*."""
-        self._last_report_at[vm] = self._clock.now()
+    def record_report(self, vm: str, led_for: int = 0, is_counted: bool = True) -> None:
+        """Record the arrival of a report of *vm*, *led_for* ms after this leader won its term.
+
+        *is_counted* is whether a leader has told *vm* the number of daemons.
+        """
+        now = self._clock.now()
+        counted_since, reported_at = self._members.get(vm, (now, now))
+        if reported_at < now - MEMBER_TIMEOUT_MS:
+            counted_since = now
+        self._members[vm] = (counted_since, now)
+        if is_counted and led_for < COUNT_SETTLING_MS:
+            self._counted_report_at = now
+
+    def is_count_settled(self, vm: str, led_for: int) -> bool:
+        """Return whether `count` lacks no daemon, and the others have heard that it has *vm*.
+
+        *led_for* is the time since this leader won its term, in milliseconds.  Daemons that a
+        former leader has counted keep its count until this one's is complete.
+        """
+        now = self._clock.now()
+        counted_at = self._counted_report_at
+        has_counted = counted_at is not None and counted_at >= now - led_for
+        if led_for < (2 * COUNT_SETTLING_MS if has_counted else COUNT_SETTLING_MS):
+            return False
+        counted_since, _ = self._members.get(vm, (now, now))
+        return now - counted_since >= COUNT_SETTLING_MS
 
 
 class ReportProtocol(asyncio.DatagramProtocol):
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -71,8 +71,10 @@
                 "vm", "run", 3, "s", {5: 2}, {"i": ServiceTimeStats(4, 1.5)}, {"directory": 9}, "a"
             ),
             LoadReport("vm", "run", 3, limits=(NOTICE, ENDED)),
+            LoadReport("vm", "run", 3, uncounted=True),
             ReportAck(3, 9, True, {"configuration": 4}, {"s": 7}),
             ReportAck(3, 9, limits=(NOTICE, ENDED)),
+            ReportAck(3, 9, settled=False),
             PermitRequest(7, 150, NOTICE),
             PermitResponse(7, Permit(False, 80)),
             OwnershipChangeNotice(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -185,7 +185,12 @@
         {"fence": 2, "revision": 1, "ranges": [[0, 65_535, "s", 1, 2, "", "", 0, 0]]},
     ),
     "report": (LoadReport.decode, json.loads(LoadReport("a", "b", 1, "s", {1: 2}).encode())),
+    "uncounted report": (
+        LoadReport.decode,
+        json.loads(LoadReport("a", "b", 1, uncounted=True).encode()),
+    ),
     "ack": (ReportAck.decode, json.loads(ReportAck(1, 2, False, {"a": 1}, {"b": 2}).encode())),
+    "settled ack": (ReportAck.decode, json.loads(ReportAck(1, 2, settled=True).encode())),
     "term end": (TermEndNotice.decode, {"ended_term": 1, "long_for": 2}),
     "update": (OwnershipUpdate.decode, {"update_term": 1, "service": "s", "revision": 1}),
     "change": (OwnershipChangeNotice.decode, {"change_term": 1, "service": "s", "base": 1}),
