--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -498,17 +498,15 @@
         patient = {**ORDERS, "Timeout": "20000ms", "TargetLatency": "15000ms"}
         fleet.publish(2, [READS, patient, KEYED], sharded=("stock",))
         await _wait_for(lambda: fleet.daemons["entry-1"]._configuration.current.version == 2)
-        listener = fleet.daemons["entry-1"]._listener
-        calls = []
-        while len(calls) < 14:
-            # A request may queue at one server while the other has a slot, so that all slots are
-            # in use only after more requests than there are slots.
+        daemon = fleet.daemons["entry-1"]
+        listener, calls = daemon._listener, []
+        for _ in range(14):
+            # Each selects its server only after the one before it is counted there.
             calls.append(
                 asyncio.create_task(fleet.call("/orders/", method="POST", deadline=19_000))
             )
-            await _wait_for(lambda: listener.in_flight == len(calls))
-            if len(_runs(fleet, "booking")) < 8:
-                await asyncio.sleep(0.02)
+            await _wait_for(lambda: sum(daemon._queues.totals()) == len(calls))
+        await _wait_for(lambda: listener.in_flight == 14)
         await _wait_for(lambda: len(_runs(fleet, "booking")) == 8)
         listener.start_draining()
         # Far less than the requests take at the servers.
