--- a/review/3/case.py
+++ b/review/3/case.py
@@ -68,9 +68,7 @@
         server = await asyncio.start_server(self._connect, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
-    async def _connect(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         server_reader, server_writer = await asyncio.open_connection(self._host, self._port)
         await asyncio.gather(
             self._forward(reader, server_writer),
@@ -216,7 +214,9 @@
         is_late = service == "old" and after_s > CONFIG_APPLY_S
         late += is_late
         text = " LATER THAN ConfigApply" if is_late else ""
-        record.write(f"{request_id} sent {after_s:.3f} s after the acknowledgement: {service}{text}")
+        record.write(
+            f"{request_id} sent {after_s:.3f} s after the acknowledgement: {service}{text}"
+        )
     record.write(f"bytes on the link to the store since the first change: {link.carried - carried}")
     record.write(f"{len(sent)} sent, {late} run by the old service later than {CONFIG_APPLY_S} s")
     if not instances["valvecmd2"].ran:
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -130,9 +130,11 @@
             store=self._store,
         )
         lines = [
-            f"{line.split(' =')[0]} = {replaced[line.split(' =')[0]]}"
-            if line.split(" =")[0] in replaced
-            else line
+            (
+                f"{line.split(' =')[0]} = {replaced[line.split(' =')[0]]}"
+                if line.split(" =")[0] in replaced
+                else line
+            )
             for line in text.splitlines()
         ]
         temporary = self.settings.with_suffix(".new")
@@ -215,7 +217,9 @@
     def address(self) -> str:
         return self.log_service.address
 
-    def publish(self, routes: list[dict], services: dict[str, bool], connections: int = 110) -> None:
+    def publish(
+        self, routes: list[dict], services: dict[str, bool], connections: int = 110
+    ) -> None:
         """Write the next configuration; *services* tells which are divided by key."""
         self.version += 3
         paths = [
