--- a/review/3/case.py
+++ b/review/3/case.py
@@ -223,4 +223,5 @@
     return EXIT_BROKEN if late else EXIT_HELD
 
 
-run_case(case, FOLDER)
+# run.sh passes the path of record.txt.
+run_case(case, pathlib.Path(sys.argv[1]))
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -88,10 +88,10 @@
 
 
 class Record:
-    """The file record.txt: what was sent, answered and run, with seconds since the start."""
+    """The file *path*: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._started_at = time.monotonic()
         self.write(f"disruption: {'yes' if trouble() else 'no'}")
 
@@ -304,11 +304,11 @@
     return await reader.readexactly(int(header(headers, "Content-Length", "0") or 0))
 
 
-def run_case(case, folder: pathlib.Path, limit_s: float = 110) -> None:
+def run_case(case, record_path: pathlib.Path, limit_s: float = 110) -> None:
     """Run the coroutine function *case* with a record and a temporary folder, and exit."""
 
     async def run() -> int:
-        record = Record(folder)
+        record = Record(record_path)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 async with asyncio.timeout(limit_s):
