Let a service without servers or owners cost only its own requests

Cause: GatewayDaemon.can_serve asked for an ownership map of every keyed service, and each request and the readiness endpoint asked can_serve. The leader writes no map for a service without a usable server.

Change: a daemon serves once it knows the configuration and the servers; what a service lacks costs its own requests. Readiness waits at the start for the owners of services that have servers, 5 s at most. The same class: a malformed map, an unreadable state stream, a malformed route or service in a version; keys without any possible owner are rejected at once.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -8,7 +8,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from fuchsiatrack.control.compactedlog import StreamConsumer
@@ -43,10 +43,14 @@
 # Longest wait for the next chunk of a request body.
 BODY_IDLE_TIMEOUT_MS = 10_000
 HOUSEKEEPING_INTERVAL_MS = 1_000
-# Longest time for which a daemon that can serve isn't ready because it hasn't been counted.  Beside
-# a leader that has just taken over it takes two settling times and one or two report periods.
+# Longest time for which a daemon that can serve isn't ready because it doesn't know the owners of
+# keys.  It covers the election of a leader and its first assignment.
+OWNERS_WAIT_MAX_MS = 5_000
+# Longest time for which a daemon that knows the owners isn't ready because it hasn't been counted.
+# Beside a leader that has just taken over it takes two settling times and one or two report
+# periods.
 COUNT_WAIT_MAX_MS = 2_500
-COUNT_CHECK_INTERVAL_MS = 20
+START_CHECK_INTERVAL_MS = 20
 
 log = logging.getLogger(__name__)
 
@@ -65,7 +69,7 @@
         self._rng = random.Random()
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
-        self._count_wait: asyncio.Task | None = None
+        self._start_wait: asyncio.Task | None = None
         self._response_memory = ResponseMemory()
         self._connections = ConnectionPool(self._clock, self._response_memory)
         self._control_connections = ConnectionPool(self._clock, self._response_memory)
@@ -122,21 +126,31 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this daemon can serve, and knows its share of what all daemons share.
+        """Whether this daemon can serve, and had time to learn what it serves best with.
 
-        It doesn't wait for its share without a leader that responds, nor for long.
+        That is the owners of keys, and its share of what all daemons share.  It waits for neither
+        for long, and once ready it isn't unready for what a service lacks.
         """
-        has_awaited_count = self._count_wait is not None and self._count_wait.done()
-        return self.can_serve and has_awaited_count
+        return self.can_serve and self._start_wait is not None and self._start_wait.done()
 
     @property
     def can_serve(self) -> bool:
-        """Whether the configuration, the servers and the owners are known."""
-        table = self._configuration.current
-        if table is None or not self._consumers["directory"].caught_up.is_set():
-            return False
+        """Whether the configuration and the servers are known.
+
+        What a service lacks, such as servers or owners, costs only its own requests.
+        """
+        is_directory_known = self._consumers["directory"].caught_up.is_set()
+        return is_directory_known and self._configuration.current is not None
+
+    @property
+    def _knows_owners(self) -> bool:
+        """Whether the owners are known of each keyed service that has a server to own its keys."""
+        if not self._range_service.has_read_owners:
+            return not self._keyed_services()
         return all(
-            self._range_service.ownership_cache.find(name).ranges for name in self._keyed_services()
+            self._range_service.ownership_cache.find(name).ranges
+            for name in self._keyed_services()
+            if any(not entry.draining for entry in self._directory.of_service(name))
         )
 
     async def run(self) -> None:
@@ -154,7 +168,7 @@
         jobs = [*(item.run() for item in self._consumers.values()), *self._range_service.jobs()]
         jobs += [self._directory.run(), self._run_housekeeping()]
         self._tasks = [asyncio.create_task(self._supervise(job)) for job in jobs]
-        self._count_wait = asyncio.create_task(self._supervise(self._await_count()))
+        self._start_wait = asyncio.create_task(self._supervise(self._await_start()))
         await self._stop.wait()
         await self._shut_down()
 
@@ -186,8 +200,8 @@
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
-        if self._count_wait is not None:
-            self._count_wait.cancel()
+        if self._start_wait is not None:
+            self._start_wait.cancel()
         self._range_service.close()
         await self._readiness.stop()
         await self._metrics_endpoint.stop()
@@ -275,13 +289,24 @@
         all_caught_up = all(item.caught_up.is_set() for item in self._consumers.values())
         return all_caught_up and self._configuration.current is not None and not self._stop.is_set()
 
-    async def _await_count(self) -> None:
-        """Wait until this daemon can serve and a leader has counted it, as far as one responds."""
+    async def _await_start(self) -> None:
+        """Wait until this daemon can serve, knows the owners, and has been counted by a leader.
+
+        The owners and the count are awaited for a bounded time, and the latter only as far as a
+        leader responds.
+        """
         while not self.can_serve:
-            await self._clock.sleep(COUNT_CHECK_INTERVAL_MS)
-        deadline = self._clock.now() + COUNT_WAIT_MAX_MS
-        while self._range_service.awaits_count and self._clock.now() < deadline:
-            await self._clock.sleep(COUNT_CHECK_INTERVAL_MS)
+            await self._clock.sleep(START_CHECK_INTERVAL_MS)
+        await self._wait_while(lambda: not self._knows_owners, OWNERS_WAIT_MAX_MS)
+        if not self._knows_owners:
+            log.warning("ready without the owners of all keys")
+        await self._wait_while(lambda: self._range_service.awaits_count, COUNT_WAIT_MAX_MS)
+
+    async def _wait_while(self, condition: Callable[[], bool], timeout: int) -> None:
+        """Wait while *condition* holds, up to *timeout* milliseconds."""
+        deadline = self._clock.now() + timeout
+        while condition() and self._clock.now() < deadline:
+            await self._clock.sleep(START_CHECK_INTERVAL_MS)
 
     # Maintenance
 
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -178,6 +178,8 @@
         route = table.find(host, path)
         if route is None:
             raise RequestError(ErrorReason.NO_SERVICE)
+        if route.error:
+            raise RequestError(ErrorReason.BAD_ROUTE, retry_after_ms=RETRY_AFTER_MS)
         service = route.choose_service(self._dependencies.rng)
         self.outcome.route, self.outcome.service = route.name, service
         time_left = (
--- a/src/fuchsiatrack/gateway/rangeservice.py
+++ b/src/fuchsiatrack/gateway/rangeservice.py
@@ -160,6 +160,11 @@
         )
         self._consumers = {**consumers, "ownership": self._consumer}
 
+    @property
+    def has_read_owners(self) -> bool:
+        """Whether the ownership maps on the log have been read since the start."""
+        return self._consumer.caught_up.is_set()
+
     @property
     def daemon_count(self) -> int:
         """How many daemons share the connections of backend servers, as far as is known."""
--- a/src/fuchsiatrack/gateway/serverselection.py
+++ b/src/fuchsiatrack/gateway/serverselection.py
@@ -81,7 +81,7 @@
 
     async def select(self, selection_request: SelectionRequest) -> ServerEntry:
         listed = self._directory.of_service(selection_request.service)
-        available = [entry for entry in listed if self._is_available(entry)]
+        available = [entry for entry in listed if _is_available(self._directory, entry)]
         candidates = [
             entry for entry in available if entry.id not in selection_request.excluded_servers
         ]
@@ -94,15 +94,12 @@
         return (
             current is not None
             and current.incarnation == entry.incarnation
-            and self._is_available(current)
+            and _is_available(self._directory, current)
         )
 
     async def wait_for_change(self, selection_request: SelectionRequest, timeout: int) -> None:
         return
 
-    def _is_available(self, entry: ServerEntry) -> bool:
-        return not entry.draining and self._directory.accepts_requests(entry)
-
     def _cost(self, entry: ServerEntry, selection_request: SelectionRequest) -> float:
         stats = self._stats.get(entry.id, entry.slots)
         cost = stats.expected_time(self._clock.now()) * (2.0 if entry.warming_up else 1.0)
@@ -140,6 +137,8 @@
             entry = self._find_owner(selection_request.service, selection_request.key)
             if entry is not None:
                 return entry
+            if not self._has_available_server(selection_request.service):
+                raise RequestError(ErrorReason.NO_SERVER, retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS)
             remaining = wait_deadline - self._clock.now()
             if remaining <= 0:
                 raise RequestError(ErrorReason.NO_OWNER, retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS)
@@ -173,6 +172,11 @@
             return None
         return entry if self._directory.accepts_requests(entry) else None
 
+    def _has_available_server(self, service: str) -> bool:
+        """Return whether any server may become the owner of keys of *service*."""
+        listed = self._directory.of_service(service)
+        return any(_is_available(self._directory, entry) for entry in listed)
+
     async def _wait_for_change(self, timeout: int) -> None:
         self._changed.clear()
         try:
@@ -180,3 +184,7 @@
                 await self._changed.wait()
         except TimeoutError:
             return
+
+
+def _is_available(directory: ServerDirectory, entry: ServerEntry) -> bool:
+    return not entry.draining and directory.accepts_requests(entry)
--- a/src/fuchsiatrack/gateway/sources.py
+++ b/src/fuchsiatrack/gateway/sources.py
@@ -54,6 +54,9 @@
         self._current = table
         fields = {"version": table.version, "offset": record.offset, "routes": len(table.routes)}
         log.info("configuration in force", extra=fields)
+        if table.errors:
+            fields = {"version": table.version, "count": len(table.errors), "why": table.errors[0]}
+            log.warning("configuration has malformed parts", extra=fields)
         self.changed.on_next(table)
 
 
--- a/src/fuchsiatrack/model/routes.py
+++ b/src/fuchsiatrack/model/routes.py
@@ -26,6 +26,7 @@
     `idempotent` states whether a request may run more than once.  `max_servers` is the number of
     backend servers to which one request may be sent, `timeout` the longest time a caller waits,
     `objective` the latency that callers expect, and `priority` the rank, 0 being the highest.
+    A route with an `error` can't serve requests, and still hides routes with shorter prefixes.
     """
 
     name: str
@@ -37,6 +38,7 @@
     objective: int
     priority: int
     max_servers: int
+    error: str = ""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the name of a service drawn at random in proportion to the weights."""
@@ -71,12 +73,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class RouteTable:
-    """One version of the configuration; later versions have greater numbers."""
+    """One version of the configuration; later versions have greater numbers.
+
+    `errors` tells which of its routes and services are malformed.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, RoutedService]
     limits: CallerLimits
+    errors: tuple[str, ...] = ()
 
     @functools.cached_property
     def _by_host(self) -> dict[str, tuple[Route, ...]]:
--- a/src/fuchsiatrack/platform/decoders.py
+++ b/src/fuchsiatrack/platform/decoders.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from fuchsiatrack.control.compactedlog import CompactedRecord
@@ -33,7 +34,8 @@
 def decode_configuration(record: CompactedRecord) -> RouteTable | None:
     """Return the configuration in *record*, or None if the record has another key.
 
-    Raises ValueError if the configuration is invalid.
+    A malformed service or route costs only the requests of these routes.  Raises ValueError if the
+    version, the limits or the lists themselves are invalid.
     """
     if record.key != CONFIGURATION_KEY:
         return None
@@ -51,18 +53,14 @@
 
 
 def _decode_configuration(body: Mapping[str, Any]) -> RouteTable:
-    services = {item.name: item for item in map(_decode_service, field(body, "Services", list))}
-    routes = tuple(
-        _decode_route(field(virtual_host, "Host", str), item, services)
-        for virtual_host in field(body, "VirtualHosts", list)
-        for item in field(virtual_host, "Paths", list)
-    )
+    errors: list[str] = []
+    services = {item.name: item for item in _decode_services(field(body, "Services", list), errors)}
+    routes = tuple(_decode_routes(field(body, "VirtualHosts", list), services, errors))
     version = field(body, "Version", str)
     if not _VERSION.fullmatch(version):
         raise ValueError(f"Version: expected a hexadecimal number (got {describe(version)})")
-    return RouteTable(
-        int(version, 16), routes, services, _decode_limits(field(body, "Limits", dict))
-    )
+    limits = _decode_limits(field(body, "Limits", dict))
+    return RouteTable(int(version, 16), routes, services, limits, tuple(errors))
 
 
 def _decode_server(server: str, body: Mapping[str, Any]) -> ServerEntry:
@@ -83,6 +81,39 @@
     )
 
 
+def _decode_services(items: list[Any], errors: list[str]) -> Iterator[RoutedService]:
+    """Yield the valid services of *items*, and add the others' errors to *errors*."""
+    for item in items:
+        try:
+            with decoding("a service"):
+                yield _decode_service(item)
+        except ValueError as error:
+            errors.append(f"service: {error}")
+
+
+def _decode_routes(
+    virtual_hosts: list[Any], services: Mapping[str, RoutedService], errors: list[str]
+) -> Iterator[Route]:
+    """Yield the routes, and add the errors of those that are malformed to *errors*.
+
+    A route whose host or prefix can't be read is left out.
+    """
+    for virtual_host in virtual_hosts:
+        try:
+            host, paths = field(virtual_host, "Host", str), field(virtual_host, "Paths", list)
+        except ValueError as error:
+            errors.append(f"host: {error}")
+            continue
+        for item in paths:
+            try:
+                with decoding("a route"):
+                    yield _decode_route(host, item, services)
+            except ValueError as error:
+                errors.append(f"route: {error}")
+                with contextlib.suppress(ValueError):
+                    yield _unusable_route(host, item, str(error))
+
+
 def _decode_service(item: Any) -> RoutedService:
     return RoutedService(
         name=field(item, "Name", str),
@@ -99,11 +130,7 @@
     unknown = [part.service for part in weighted_services if part.service not in services]
     if unknown:
         raise ValueError(f"Service: not listed in Services (got {describe(unknown[0])})")
-    prefix = field(item, "PathPrefix", str)
-    if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(
-            f"PathPrefix: expected a leading and a trailing slash (got {describe(prefix)})"
-        )
+    prefix = _decode_prefix(item)
     return Route(
         name=field(item, "Name", str),
         host=host.lower(),
@@ -117,6 +144,31 @@
     )
 
 
+def _unusable_route(host: str, item: Any, error: str) -> Route:
+    """Return a route that serves no request; raise ValueError if the prefix is malformed."""
+    return Route(
+        name="",
+        host=host.lower(),
+        prefix=_decode_prefix(item),
+        idempotent=False,
+        services=(),
+        timeout=0,
+        objective=0,
+        priority=0,
+        max_servers=1,
+        error=error,
+    )
+
+
+def _decode_prefix(item: Any) -> str:
+    prefix = field(item, "PathPrefix", str)
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError(
+            f"PathPrefix: expected a leading and a trailing slash (got {describe(prefix)})"
+        )
+    return prefix
+
+
 def _decode_weighted_services(item: Any) -> tuple[WeightedService, ...]:
     if "TrafficSplit" not in item:
         return (WeightedService(field(item, "Service", str), 1.0),)
--- a/src/fuchsiatrack/routing/errors.py
+++ b/src/fuchsiatrack/routing/errors.py
@@ -27,6 +27,8 @@
     NO_OWNER = ("no-owner", 503)
     # The service has no server that may be selected.
     NO_SERVER = ("no-server", 503)
+    # The configuration in force has no valid definition of the route.
+    BAD_ROUTE = ("malformed-route", 503)
     # The daemon, or its part for the service, is not ready.
     NOT_READY = ("not-ready", 503)
     # The server rejected the request without running it.
--- a/src/fuchsiatrack_standins/fleet/logservice.py
+++ b/src/fuchsiatrack_standins/fleet/logservice.py
@@ -88,7 +88,7 @@
 
     `mode` selects a fault and `delay_ms` delays every call. While `ignores_appends_while_waiting`
     is set, a waiting read does not return before its wait has elapsed, even if records are
-    appended.
+    appended.  Calls for a topic in `unavailable_topics` get status 503.
     """
 
     def __init__(self) -> None:
@@ -99,6 +99,7 @@
         self._partitions: dict[tuple[str, int], LogPartition] = {}
         self._runner: web.ServerRunner | None = None
         self.address = ""
+        self.unavailable_topics: set[str] = set()
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port of *host*."""
@@ -142,7 +143,8 @@
         self.calls[path] = self.calls.get(path, 0) + 1
         if self.mode is LogServiceMode.UNRESPONSIVE:
             await asyncio.sleep(MAX_WAIT_MS / 1_000)
-        if self.mode is LogServiceMode.BUSY:
+        is_unavailable = request.query.get("Topic") in self.unavailable_topics
+        if self.mode is LogServiceMode.BUSY or is_unavailable:
             return web.Response(status=503)
         if self.mode is LogServiceMode.RATE_LIMITED:
             return web.Response(status=429)
