--- a/src/fuchsiatrack/platform/decoders.py
+++ b/src/fuchsiatrack/platform/decoders.py
@@ -145,11 +145,14 @@
 
 
 def _unusable_route(host: str, item: Any, error: str) -> Route:
-    """Return a route that serves no request; raise ValueError if the prefix is malformed."""
+    """Return a route that serves no request; raise ValueError if it has no prefix.
+
+    A prefix without a leading or trailing slash gets one.
+    """
     return Route(
         name="",
         host=host.lower(),
-        prefix=_decode_prefix(item),
+        prefix=f"/{field(item, 'PathPrefix', str).strip('/')}/".replace("//", "/"),
         idempotent=False,
         services=(),
         timeout=0,
