Read the newest version instead of all versions of a storm

Cause: the configuration was read version by version, up to 1,024 kB a response, and each was decoded, although the newest one says everything.

Change: a stream whose newest record says everything is listed once a page doesn't reach its end; a response brings little more than one record; of a page only the newest records are decoded, and routes that didn't change not again. The bound on the delay is computed from the daemon's settings, and a version that exceeds ConfigApply is reported.

--- a/src/fuchsiatrack/control/compactedlog.py
+++ b/src/fuchsiatrack/control/compactedlog.py
@@ -158,11 +158,15 @@
     """Reads one stream continuously; a single task executes `run`.
 
     *on_snapshot* receives the newest record of each key, once at the start and again whenever
-    records were missed; *on_record* receives each later record.  Both also receive the context of
-    the read.  After a page that ends the stream, the next read starts *pause* milliseconds later,
-    so that records which are appended together take one call.  A read without a response is
-    repeated every *attempt_interval* milliseconds.  With *newest_only* the read after a pause gets
-    the newest record of each key instead of all records since.
+    records were missed; *on_records* receives the later records, in pages.  Both also receive the
+    context of the read.  After a page that ends the stream, the next read starts *pause*
+    milliseconds later, so that records which are appended together take one call.  A read without a
+    response is repeated every *attempt_interval* milliseconds.
+
+    *newest_only* is for streams whose newest record of each key says everything.  After a pause,
+    and after a page that doesn't reach the end of the stream, the newest record of each key is read
+    instead of all records since, so that the delay of the newest one doesn't grow with the number
+    of those before it.
     """
 
     def __init__(
@@ -171,7 +175,7 @@
         stream: Stream,
         clock: Clock,
         on_snapshot: Callable[[tuple[CompactedRecord, ...], ReadContext], None],
-        on_record: Callable[[CompactedRecord, ReadContext], None],
+        on_records: Callable[[tuple[CompactedRecord, ...], ReadContext], None],
         pause: int = 0,
         attempt_interval: int = ATTEMPT_INTERVAL_MS,
         newest_only: bool = False,
@@ -181,7 +185,7 @@
         self._stream = stream
         self._clock = clock
         self._on_snapshot = on_snapshot
-        self._on_record = on_record
+        self._on_records = on_records
         self._pause = pause
         self._attempt_interval = attempt_interval
         self._unavailable_at: int | None = None
@@ -282,8 +286,8 @@
         if page is None:
             return
         self._record_success()
-        for record in page.records:
-            self._on_record(record, self._context())
+        if page.records:
+            self._on_records(page.records, self._context())
         self.next = page.next
         if page.is_last:
             self._record_caught_up()
@@ -291,6 +295,8 @@
                 await self._wait_for_poll_now()
                 if self._newest_only:
                     await self._read_snapshot()
+        elif self._newest_only:
+            await self._read_snapshot()
 
     async def _poll_once(self) -> CompactedPage | None:
         """Return the next page, or None if the poll was cancelled in favour of a new one."""
--- a/src/fuchsiatrack/directory/departurebudget.py
+++ b/src/fuchsiatrack/directory/departurebudget.py
@@ -5,11 +5,10 @@
 import dataclasses
 
 from fuchsiatrack.control.compactedlog import ReadContext
+from fuchsiatrack.control.readdelay import READ_RESPONSE_MS
 
 # Running servers register again within about 2 s after the log service comes back.
 RELIST_TIMEOUT_MS = 2_200
-# Longest response time of a healthy log service.
-READ_RESPONSE_MS = 250
 # Share of the drain time by which a daemon may delay its next read of the directory.
 READ_PAUSE_RATIO = 0.25
 # From the last check of a server's entry to the arrival of the request, on an open connection.
--- a/src/fuchsiatrack/gateway/adapter.py
+++ b/src/fuchsiatrack/gateway/adapter.py
@@ -58,6 +58,13 @@
         Raises ValueError if the configuration is malformed.
         """
 
+    @abc.abstractmethod
+    def decode_configuration_version(self, record: CompactedRecord) -> int | None:
+        """Return the version of the configuration in *record*, or None if its key is another.
+
+        Raises ValueError if it has none.  It takes much less time than `decode_configuration`.
+        """
+
     @abc.abstractmethod
     def decode_server(self, record: CompactedRecord) -> ServerEntry:
         """Return the server that *record* lists; raise ValueError if it is malformed."""
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from fuchsiatrack.control.compactedlog import StreamConsumer
+from fuchsiatrack.control.readdelay import ReadDelay
 from fuchsiatrack.directory.departurebudget import DepartureBudget
 from fuchsiatrack.directory.servers import EntryState, ServerDirectory, ServerIncarnation
 from fuchsiatrack.gateway.adapter import PlatformAdapter
@@ -78,7 +79,9 @@
         self._metrics = TextMetrics()
         self._traffic = TrafficCounter(self._metrics, settings.failure_domain)
         self._log = adapter.open_log(settings, self._traffic)
-        self._configuration = ConfigurationHolder(adapter)
+        self._configuration = ConfigurationHolder(
+            adapter, settings.config_apply, _read_delay(settings)
+        )
         self._departure_budget = DepartureBudget(settings.drain, settings.contact)
         self._directory = ServerDirectory(self._clock, self._departure_budget)
         self._limits = LimitRegistry(self._directory.is_listed)
@@ -219,15 +222,16 @@
                 self._log,
                 self._adapter.configuration_stream,
                 self._clock,
-                configuration.apply_snapshot,
-                configuration.apply_record,
+                configuration.apply_records,
+                configuration.apply_records,
+                newest_only=True,
             ),
             "directory": StreamConsumer(
                 self._log,
                 self._adapter.directory_stream,
                 self._clock,
                 updater.apply_snapshot,
-                updater.apply_record,
+                updater.apply_records,
                 self._departure_budget.read_pause,
             ),
         }
@@ -343,6 +347,7 @@
             "requests_at_servers": at_servers,
             "requests_waiting": waiting,
             "configuration_version": table.version if table else 0,
+            "configuration_delay_bound_ms": self._configuration.delay_bound,
             "servers_listed": len(self._directory.entries),
             "servers_draining": states.get(EntryState.DRAINING, 0),
             "servers_expired": states.get(EntryState.EXPIRED, 0),
@@ -358,6 +363,13 @@
         }
 
 
+def _read_delay(settings: GatewaySettings) -> ReadDelay | None:
+    """Return the bound on the delay of reads, None if the rate of the link isn't known."""
+    if not settings.link_rate:
+        return None
+    return ReadDelay(settings.link_rate, settings.max_read_size)
+
+
 def _modification_time_ns(path: pathlib.Path) -> int:
     try:
         return path.stat().st_mtime_ns
--- a/src/fuchsiatrack/gateway/settings.py
+++ b/src/fuchsiatrack/gateway/settings.py
@@ -6,6 +6,11 @@
 
 from fuchsiatrack.limits.retryratio import RetryBudgetSettings
 
+# Assumed where the settings don't tell.
+MAX_RECORD_BYTES = 262_144
+# For the head of a response, and the length and key of the record.
+READ_OVERHEAD_BYTES = 1_024
+
 
 class SettingsError(Exception):
     """The settings are unusable; the message names the field and the offending value."""
@@ -29,7 +34,9 @@
     A server may get requests for `drain` after the log service acknowledged that it leaves; a
     daemon has to keep that once its path to the log service has been undisturbed for `contact`.
     `max_hold` is the longest grant that backend servers accept.  A graceful stop takes at most
-    `stop_grace`.
+    `stop_grace`.  A configuration has to be in force `config_apply` after its acknowledgement, on a
+    link of `link_rate` bytes per millisecond, 0 if unknown.  `max_record_size` is the size in bytes
+    of the largest record of the log service.
     """
 
     vm: str
@@ -44,3 +51,11 @@
     max_hold: int
     stop_grace: int
     retry_budget: RetryBudgetSettings
+    config_apply: int = 2_000
+    link_rate: float = 0.0
+    max_record_size: int = MAX_RECORD_BYTES
+
+    @property
+    def max_read_size(self) -> int:
+        """Size in bytes of the longest response to a read of the log: a little above one record."""
+        return self.max_record_size + READ_OVERHEAD_BYTES
--- a/src/fuchsiatrack/gateway/sources.py
+++ b/src/fuchsiatrack/gateway/sources.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 
 from reactivex.subject import Subject
 
 from fuchsiatrack.control.compactedlog import CompactedRecord, ReadContext
+from fuchsiatrack.control.readdelay import ReadDelay
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
 from fuchsiatrack.gateway.adapter import PlatformAdapter
 from fuchsiatrack.model.routes import RouteTable
@@ -17,12 +19,20 @@
 class ConfigurationHolder:
     """Holds the newest configuration, which an older one never replaces.
 
+    A configuration that may come into force later than *apply_time* milliseconds after its
+    acknowledgement, by *read_delay*, is reported in the log.  Without a delay none is.
     `changed` emits each configuration that comes into force.
     """
 
-    def __init__(self, adapter: PlatformAdapter) -> None:
+    def __init__(
+        self, adapter: PlatformAdapter, apply_time: int = 0, read_delay: ReadDelay | None = None
+    ) -> None:
         self._adapter = adapter
+        self._apply_time = apply_time
+        self._read_delay = read_delay
         self._current: RouteTable | None = None
+        # Bound on the delay of the configuration in force, in milliseconds, 0 if it isn't known.
+        self.delay_bound = 0
         self.changed: Subject[RouteTable] = Subject()
 
     @property
@@ -30,34 +40,68 @@
         """The configuration in force, or None before the first one."""
         return self._current
 
-    def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
-        """Apply the newest records of the stream."""
-        for record in records:
-            self.apply_record(record, context)
+    def apply_records(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
+        """Apply the valid record with the greatest version.
 
-    def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
-        """Apply one record."""
-        if record.value is None:
-            return
+        The others aren't decoded further, which takes long for large configurations.
+        """
+        for version, record in self._latest_first(records):
+            if self._current is not None and version <= self._current.version:
+                fields = {"version": version, "in_force": self._current.version}
+                log.info("older configuration ignored", extra=fields)
+                return
+            if self._apply(record):
+                return
+
+    def _latest_first(
+        self, records: Iterable[CompactedRecord]
+    ) -> list[tuple[int, CompactedRecord]]:
+        """Return the configurations among *records* with their versions, the greatest first."""
+        versions = []
+        for record in records:
+            try:
+                version = self._adapter.decode_configuration_version(record)
+            except ValueError as error:
+                self._record_rejected(record, error)
+                continue
+            if version is not None:
+                versions.append((version, record))
+        return sorted(versions, key=lambda item: item[0], reverse=True)
+
+    def _apply(self, record: CompactedRecord) -> bool:
+        """Bring the configuration in *record* into force; return whether it is valid."""
         try:
             table = self._adapter.decode_configuration(record)
         except ValueError as error:
-            fields = {"offset": record.offset, "why": str(error)}
-            log.warning("configuration rejected", extra=fields)
-            return
-        if table is None:
-            return
-        if self._current is not None and table.version <= self._current.version:
-            fields = {"version": table.version, "in_force": self._current.version}
-            log.info("older configuration ignored", extra=fields)
-            return
+            self._record_rejected(record, error)
+            return False
         self._current = table
         fields = {"version": table.version, "offset": record.offset, "routes": len(table.routes)}
         log.info("configuration in force", extra=fields)
+        self._check_delay(table, len(record.value or b""))
         if table.errors:
             fields = {"version": table.version, "count": len(table.errors), "why": table.errors[0]}
             log.warning("configuration has malformed parts", extra=fields)
         self.changed.on_next(table)
+        return True
+
+    def _check_delay(self, table: RouteTable, size: int) -> None:
+        """Report a configuration of *size* bytes that this daemon's link may bring too late."""
+        if self._read_delay is None:
+            return
+        self.delay_bound = self._read_delay.bound(size)
+        if self.delay_bound > self._apply_time:
+            fields = {
+                "version": table.version,
+                "bytes": size,
+                "delay_ms": self.delay_bound,
+                "allowed_ms": self._apply_time,
+            }
+            log.warning("configuration may come into force too late", extra=fields)
+
+    def _record_rejected(self, record: CompactedRecord, error: ValueError) -> None:
+        fields = {"offset": record.offset, "why": str(error)}
+        log.warning("configuration rejected", extra=fields)
 
 
 class DirectoryUpdater:
@@ -70,7 +114,7 @@
     def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
         """Replace the directory's entries by those in *records*.
 
-        A malformed record leaves the entry that is known, as in `apply_record`.
+        A malformed record leaves the entry that is known, as in `apply_records`.
         """
         entries = [
             self._decode(record) or self._directory.find(record.key)
@@ -79,8 +123,12 @@
         ]
         self._directory.replace((entry for entry in entries if entry), context)
 
-    def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
-        """Apply one record."""
+    def apply_records(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
+        """Apply *records* in their order."""
+        for record in records:
+            self._apply(record, context)
+
+    def _apply(self, record: CompactedRecord, context: ReadContext) -> None:
         if record.value is None:
             self._directory.remove(record.key, context)
             return
--- a/src/fuchsiatrack/platform/adapter.py
+++ b/src/fuchsiatrack/platform/adapter.py
@@ -18,6 +18,7 @@
 from fuchsiatrack.platform.grantclient import HttpRangeGrantClient
 from fuchsiatrack.platform.headers import PlatformHeaderCodec
 from fuchsiatrack.platform.logservice import LogServiceClient
+from fuchsiatrack.platform.routecache import RouteCache
 from fuchsiatrack.platform.settings import load_settings
 from fuchsiatrack.ranges.grantclient import RangeGrantClient
 
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self._header_codec = PlatformHeaderCodec()
+        self._route_cache = RouteCache()
 
     @property
     def header_codec(self) -> HeaderCodec:
@@ -50,7 +52,7 @@
         return load_settings(path)
 
     def open_log(self, settings: GatewaySettings, traffic: TrafficCounter) -> CompactedLog:
-        return LogServiceClient(settings.log_service, traffic)
+        return LogServiceClient(settings.log_service, traffic, settings.max_read_size)
 
     def open_grant_client(
         self, connections: ConnectionPool, traffic: TrafficCounter, clock: Clock
@@ -58,7 +60,10 @@
         return HttpRangeGrantClient(connections, traffic, clock)
 
     def decode_configuration(self, record: CompactedRecord) -> RouteTable | None:
-        return decoders.decode_configuration(record)
+        return decoders.decode_configuration(record, self._route_cache)
+
+    def decode_configuration_version(self, record: CompactedRecord) -> int | None:
+        return decoders.decode_configuration_version(record)
 
     def decode_server(self, record: CompactedRecord) -> ServerEntry:
         return decoders.decode_server(record)
--- a/src/fuchsiatrack/platform/decoders.py
+++ b/src/fuchsiatrack/platform/decoders.py
@@ -18,6 +18,7 @@
     WeightedService,
 )
 from fuchsiatrack.platform.fields import duration, endpoint
+from fuchsiatrack.platform.routecache import RouteCache
 
 CONFIGURATION_KEY = "config"
 # Only requests of this type may run more than once.
@@ -31,16 +32,29 @@
 _SERVER_ID = re.compile(r"[!-~]{1,200}")
 
 
-def decode_configuration(record: CompactedRecord) -> RouteTable | None:
+def decode_configuration(
+    record: CompactedRecord, cache: RouteCache | None = None
+) -> RouteTable | None:
     """Return the configuration in *record*, or None if the record has another key.
 
+    Routes that are in *cache* aren't decoded again, and it has the routes of *record* afterwards.
     A malformed service or route costs only the requests of these routes.  Raises ValueError if the
     version, the limits or the lists themselves are invalid.
     """
     if record.key != CONFIGURATION_KEY:
         return None
     with decoding("a configuration"):
-        return _decode_configuration(decode_object(record.value or b""))
+        return _decode_configuration(decode_object(record.value or b""), cache or RouteCache())
+
+
+def decode_configuration_version(record: CompactedRecord) -> int | None:
+    """Return the version in *record*, or None if the record is no configuration.
+
+    Raises ValueError if it has no valid version.
+    """
+    if record.key != CONFIGURATION_KEY or record.value is None:
+        return None
+    return _decode_version(decode_object(record.value))
 
 
 def decode_server(record: CompactedRecord) -> ServerEntry:
@@ -52,15 +66,19 @@
         return _decode_server(record.key, decode_object(record.value or b""))
 
 
-def _decode_configuration(body: Mapping[str, Any]) -> RouteTable:
+def _decode_configuration(body: Mapping[str, Any], cache: RouteCache) -> RouteTable:
     errors: list[str] = []
     services = {item.name: item for item in _decode_services(field(body, "Services", list), errors)}
-    routes = tuple(_decode_routes(field(body, "VirtualHosts", list), services, errors))
+    routes = tuple(_decode_routes(field(body, "VirtualHosts", list), services, errors, cache))
+    limits = _decode_limits(field(body, "Limits", dict))
+    return RouteTable(_decode_version(body), routes, services, limits, tuple(errors))
+
+
+def _decode_version(body: Mapping[str, Any]) -> int:
     version = field(body, "Version", str)
     if not _VERSION.fullmatch(version):
         raise ValueError(f"Version: expected a hexadecimal number (got {describe(version)})")
-    limits = _decode_limits(field(body, "Limits", dict))
-    return RouteTable(int(version, 16), routes, services, limits, tuple(errors))
+    return int(version, 16)
 
 
 def _decode_server(server: str, body: Mapping[str, Any]) -> ServerEntry:
@@ -92,12 +110,16 @@
 
 
 def _decode_routes(
-    virtual_hosts: list[Any], services: Mapping[str, RoutedService], errors: list[str]
+    virtual_hosts: list[Any],
+    services: Mapping[str, RoutedService],
+    errors: list[str],
+    cache: RouteCache,
 ) -> Iterator[Route]:
     """Yield the routes, and add the errors of those that are malformed to *errors*.
 
     A route whose host or prefix can't be read is left out.
     """
+    decoded = []
     for virtual_host in virtual_hosts:
         try:
             host, paths = field(virtual_host, "Host", str), field(virtual_host, "Paths", list)
@@ -107,11 +129,16 @@
         for item in paths:
             try:
                 with decoding("a route"):
-                    yield _decode_route(host, item, services)
+                    route = cache.find(host, item) or _decode_route(host, item)
+                    _check_services(route, services)
             except ValueError as error:
                 errors.append(f"route: {error}")
                 with contextlib.suppress(ValueError):
                     yield _unusable_route(host, item, str(error))
+                continue
+            decoded.append((host, item, route))
+            yield route
+    cache.replace(decoded)
 
 
 def _decode_service(item: Any) -> RoutedService:
@@ -122,21 +149,24 @@
     )
 
 
-def _decode_route(host: str, item: Any, services: Mapping[str, RoutedService]) -> Route:
+def _check_services(route: Route, services: Mapping[str, RoutedService]) -> None:
+    """Raise ValueError if a service of *route* isn't among the valid *services*."""
+    unknown = [part.service for part in route.services if part.service not in services]
+    if unknown:
+        raise ValueError(f"Service: not listed in Services (got {describe(unknown[0])})")
+
+
+def _decode_route(host: str, item: Any) -> Route:
     route_type = field(item, "RouteType", str)
     if route_type not in ROUTE_TYPES:
         raise ValueError(f"RouteType: unknown type (got {describe(route_type)})")
-    weighted_services = _decode_weighted_services(item)
-    unknown = [part.service for part in weighted_services if part.service not in services]
-    if unknown:
-        raise ValueError(f"Service: not listed in Services (got {describe(unknown[0])})")
     prefix = _decode_prefix(item)
     return Route(
         name=field(item, "Name", str),
         host=host.lower(),
         prefix=prefix,
         idempotent=route_type == IDEMPOTENT_ROUTE_TYPE,
-        services=weighted_services,
+        services=_decode_weighted_services(item),
         timeout=duration(item.get("Timeout"), "Timeout"),
         objective=duration(item.get("TargetLatency"), "TargetLatency"),
         priority=natural(item, "Priority"),
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -48,6 +48,7 @@
 # the platform expects it.
 KEEPALIVE = KeepaliveSettings(idle_s=1, interval_s=1, probes=1, unacknowledged_ms=2_000)
 MAX_LISTING_PAGES = 200
+MAX_READ_BYTES = 2**20
 # A response to a read starts with the stream's end and its first retained offset; records follow.
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
@@ -56,10 +57,20 @@
 
 
 class LogServiceClient(CompactedLog):
-    """Client of the log service over HTTP."""
+    """Client of the log service over HTTP.
 
-    def __init__(self, address: Endpoint, traffic: TrafficCounter | None = None) -> None:
+    One response to a read has *max_read_size* bytes, if no record is longer: on a narrow link, what
+    was asked for delays what is appended meanwhile.
+    """
+
+    def __init__(
+        self,
+        address: Endpoint,
+        traffic: TrafficCounter | None = None,
+        max_read_size: int = MAX_READ_BYTES,
+    ) -> None:
         self._url = f"http://{address}"
+        self._max_read_kib = -(-max_read_size // 1_024)
         self._traffic = traffic
         self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
@@ -91,6 +102,7 @@
             "part": str(stream.part),
             "From": str(first),
             "WaitMs": str(wait),
+            "MaxKb": str(self._max_read_kib),
         }
         status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS, attempt)
         if status == 404:
--- a/src/fuchsiatrack/platform/settings.py
+++ b/src/fuchsiatrack/platform/settings.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings, SettingsError
-from fuchsiatrack.kernel.fields import describe, field
+from fuchsiatrack.kernel.fields import describe, field, natural
 from fuchsiatrack.limits.retryratio import RetryBudgetSettings
 from fuchsiatrack.platform.fields import duration, endpoint
 
 # Port of the metrics endpoint; deploy/system.toml has the same number.
 METRICS_PORT = 9464
+BYTES_PER_MS_PER_MBPS = 125.0
 
 
 def load_settings(path: pathlib.Path) -> GatewaySettings:
@@ -46,9 +47,25 @@
             field(table, "Terms.Bounds.BudgetSlack", float),
             duration(bounds.get("BudgetWindow"), "Terms.Bounds.BudgetWindow"),
         ),
+        **_decode_read_limits(table, bounds),
     )
 
 
+def _decode_read_limits(table: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings, where given, from which the delay of the configuration follows."""
+    limits: dict[str, Any] = {}
+    if "ConfigApply" in bounds:
+        limits["config_apply"] = duration(bounds["ConfigApply"], "Terms.Bounds.ConfigApply")
+    if "LinkMbps" in table["Self"].get("Limits", {}):
+        rate = field(table, "Self.Limits.LinkMbps", float)
+        if rate <= 0:
+            raise ValueError(f"Self.Limits.LinkMbps: expected a positive number (got {rate})")
+        limits["link_rate"] = rate * BYTES_PER_MS_PER_MBPS
+    if "RecordBytes" in table["Platform"]["Platform"]:
+        limits["max_record_size"] = natural(table, "Platform.Platform.RecordBytes", 1)
+    return limits
+
+
 def _first_internal_port(table: dict[str, Any]) -> int:
     ports = field(table, "Network.InternalPortRange", list)
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
--- a/src/fuchsiatrack/ranges/ownershipcache.py
+++ b/src/fuchsiatrack/ranges/ownershipcache.py
@@ -58,9 +58,10 @@
             (item.first, item.next_fence), self._clock.now()
         )
 
-    def apply_snapshot(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
-        """Apply the newest record of each key of the state stream."""
-        for record in records:
+    def apply_records(self, records: tuple[CompactedRecord, ...], context: ReadContext) -> None:
+        """Apply the newest record of each key among *records* of the state stream."""
+        newest = {record.key: record for record in records}
+        for record in newest.values():
             self.apply_record(record, context)
 
     def apply_record(self, record: CompactedRecord, context: ReadContext) -> None:
--- a/src/fuchsiatrack_standins/fleet/logservice.py
+++ b/src/fuchsiatrack_standins/fleet/logservice.py
@@ -10,6 +10,7 @@
 import base64
 import dataclasses
 import enum
+import itertools
 import json
 import struct
 
@@ -19,6 +20,8 @@
 # Responses stored for each producer, to be repeated when it retries an append.
 STORED_RESPONSES = 5
 NEWEST_PAGE_RECORDS = 50
+# Longest response to a read that doesn't name a limit.
+DEFAULT_READ_KIB = 1_024
 
 
 class LogServiceMode(enum.Enum):
@@ -96,10 +99,10 @@
         self.calls: dict[str, int] = {}
         self.ignores_appends_while_waiting = False
         self.delay_ms = 0
+        self.unavailable_topics: set[str] = set()
         self._partitions: dict[tuple[str, int], LogPartition] = {}
         self._runner: web.ServerRunner | None = None
         self.address = ""
-        self.unavailable_topics: set[str] = set()
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port of *host*."""
@@ -192,7 +195,8 @@
             await self._wait_for_record(partition, wait_ms)
         if offset < partition.first:
             return web.json_response({"First": partition.first}, status=410)
-        records = partition.records[offset - partition.first :]
+        limit = int(query.get("MaxKb", DEFAULT_READ_KIB)) * 1_024
+        records = _first_records(partition.records[offset - partition.first :], limit)
         body = struct.pack(">QQ", partition.end, partition.first)
         body += b"".join(struct.pack(">I", len(item)) + item for item in records)
         return web.Response(body=body)
@@ -220,6 +224,12 @@
         return web.json_response({"items": items, "More": more, "End": partition.end})
 
 
+def _first_records(records: list[bytes], limit: int) -> list[bytes]:
+    """Return as many of the first *records* as have *limit* bytes together, at least one."""
+    sizes = itertools.accumulate(4 + len(record) for record in records)
+    return records[: max(1, sum(size <= limit for size in sizes))]
+
+
 def _split_records(body: bytes) -> list[bytes]:
     records, position = [], 0
     while position < len(body):
--- a/tests/leaderfleet.py
+++ b/tests/leaderfleet.py
@@ -831,7 +831,7 @@
             SERVERS_STREAM,
             self.clock,
             updater.apply_snapshot,
-            updater.apply_record,
+            updater.apply_records,
             budget.read_pause,
         )
         self.consumers = {"directory": consumer}
--- a/tests/test_server_departure.py
+++ b/tests/test_server_departure.py
@@ -189,7 +189,7 @@
             STREAM,
             self.clock,
             updater.apply_snapshot,
-            updater.apply_record,
+            updater.apply_records,
             budget.read_pause,
         )
 
--- a/tests/test_streamconsumer.py
+++ b/tests/test_streamconsumer.py
@@ -81,7 +81,7 @@
             Stream("servers"),
             SystemClock(),
             lambda records, context: None,
-            lambda record, context: seen.append(record.key),
+            lambda records, context: seen.extend(record.key for record in records),
             pause=200,
         )
         task = asyncio.create_task(consumer.run())
@@ -110,7 +110,7 @@
             Stream("state"),
             SystemClock(),
             lambda records, context: seen.extend(record.value for record in records),
-            lambda record, context: seen.append(record.value),
+            lambda records, context: seen.extend(record.value for record in records),
             pause=200,
             newest_only=True,
         )
@@ -208,7 +208,7 @@
         Stream("op"),
         SystemClock(),
         lambda records, context: None,
-        lambda record, context: seen.set(),
+        lambda records, context: seen.set(),
     )
     consumer.poll_now()
     task = asyncio.create_task(consumer.run())
@@ -238,7 +238,7 @@
             Stream("servers"),
             clock,
             lambda records, context: None,
-            lambda record, context: directory.remove(record.key, context),
+            lambda records, context: [directory.remove(item.key, context) for item in records],
         )
         task = asyncio.create_task(consumer.run())
         await asyncio.sleep(0.05)
