Bound each byte that a daemon holds for a peer

Callers saw (reported by another operator): a faulty server sent bytes without end, the machine that had called it ran out of memory, and the requests of all its callers ended with it.

Other bytes weren't counted at all.

Change: the body is moved out of the parser's reader as it arrives and dropped with the failure; heads, interim responses and framing are bounded every 8 KiB; receive buffers and reads are bounded; responses count until their callers have read them, and bodies of requests while they wait; responses of the log service and to grants have their own bounds.

--- a/src/fuchsiatrack/gateway/connectionpool.py
+++ b/src/fuchsiatrack/gateway/connectionpool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.serverconnection import (
@@ -21,6 +22,8 @@
 SETTLE_FACTOR = 1.5
 SETTLE_MIN_MS = 2
 SETTLE_MAX_MS = 20
+# Of each connection; the kernel doubles it.
+RECEIVE_BUFFER_BYTES = 131_072
 
 
 class ConnectionPool:
@@ -113,12 +116,12 @@
         self.opened_count += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
-                transport, connection = await loop.create_connection(
-                    lambda: ServerConnection(loop, self._memory), host, int(port)
+                connected = await _connect(loop, host, int(port))
+                _, connection = await loop.create_connection(
+                    lambda: ServerConnection(loop, self._memory), sock=connected
                 )
         except (TimeoutError, OSError, ValueError, OverflowError) as error:
             raise ConnectFailed(f"{address}: {error!r}") from error
-        set_keepalive(transport.get_extra_info("socket"))
         if settle:
             settle_time = int(SETTLE_FACTOR * (self._clock.now() - started_at))
             await self._settle(connection, settle_time)
@@ -134,6 +137,23 @@
             raise
 
 
+async def _connect(loop: asyncio.AbstractEventLoop, host: str, port: int) -> socket.socket:
+    """Return a connected socket whose receive buffer is bounded.
+
+    The kernel would let the buffer of a connection grow to several MiB while its data waits.
+    """
+    created = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        created.setblocking(False)
+        created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        set_keepalive(created)
+        await loop.sock_connect(created, (host, port))
+    except BaseException:
+        created.close()
+        raise
+    return created
+
+
 def _is_fresh(connection: ServerConnection, now: int, max_idle: int) -> bool:
     return connection.is_usable and now - connection.idle_since < min(
         max_idle, connection.idle_timeout
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -22,7 +22,8 @@
 from fuchsiatrack.gateway.forwarder import ExchangeDependencies
 from fuchsiatrack.gateway.listener import CallerListener
 from fuchsiatrack.gateway.rangeservice import RangeService
-from fuchsiatrack.gateway.responsememory import ResponseMemory
+from fuchsiatrack.gateway.requestmemory import RequestMemory
+from fuchsiatrack.gateway.responsememory import ResponseMemory, body_limit
 from fuchsiatrack.gateway.serverselection import BalancedSelector, OwnerSelector, ServerSelector
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings, SettingsError
@@ -71,7 +72,9 @@
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._start_wait: asyncio.Task | None = None
-        self._response_memory = ResponseMemory()
+        limit = body_limit(settings.memory)
+        self._request_memory = RequestMemory(limit)
+        self._response_memory = ResponseMemory(max_total=limit)
         self._connections = ConnectionPool(self._clock, self._response_memory)
         self._control_connections = ConnectionPool(self._clock, self._response_memory)
         self._stats = ServerStatsRegistry(self._clock)
@@ -118,7 +121,9 @@
             self._metrics,
         )
         self._selectors = self._create_selectors()
-        self._listener = CallerListener(self._create_dependencies(), self._metrics)
+        self._listener = CallerListener(
+            self._create_dependencies(), self._metrics, self._response_memory
+        )
         self._readiness = ReadinessEndpoint(lambda: self.is_ready and not self._stop.is_set())
         self._metrics_endpoint = MetricsEndpoint(self._metrics, self._read_gauges)
 
@@ -273,6 +278,7 @@
             daemon_count=lambda: self._range_service.daemon_count,
             record_key=self._range_service.record_key,
             record_misrouted=self._range_service.record_misrouted,
+            request_memory=self._request_memory,
             body_idle_timeout=BODY_IDLE_TIMEOUT_MS,
         )
 
@@ -356,7 +362,8 @@
             "servers_said_leaving": len(self._directory.announced_departures),
             "callers_connected": self._listener.connection_count,
             "requests_in_flight": self._listener.in_flight,
-            "response_bytes_incomplete": self._response_memory.total,
+            "request_bytes_held": self._request_memory.total,
+            "response_bytes_held": self._response_memory.total,
             "server_connections_opened": self._connections.opened_count,
             "daemons_counted": self._range_service.daemon_count,
             "leading": int(self._range_service.leadership.has_valid_lease()),
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -21,6 +21,7 @@
 )
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
+from fuchsiatrack.gateway.requestmemory import RequestMemory
 from fuchsiatrack.gateway.retrypolicy import FailedSend, retry_delay
 from fuchsiatrack.gateway.serverconnection import (
     ConnectFailed,
@@ -92,6 +93,7 @@
     daemon_count: Callable[[], int]
     record_key: Callable[[str, int], None]
     record_misrouted: Callable[[], None]
+    request_memory: RequestMemory
     body_idle_timeout: int
 
 
@@ -148,6 +150,8 @@
         self._timeout: asyncio.Timeout | None = None
         self._service: RoutedService | None = None
         self._body: RequestBody | None = None
+        # Bytes of the request memory.
+        self._reserved = 0
         self.outcome = Outcome()
 
     async def run(self) -> web.Response:
@@ -159,6 +163,7 @@
             response = self._failed_response or self._error_response(request_error)
         finally:
             self._put_back_retry_permit()
+            self._dependencies.request_memory.release(self._reserved)
         self.outcome.status = response.status
         self.outcome.elapsed = self._clock.now() - self._started_at
         return response
@@ -219,6 +224,12 @@
         length = self._request.content_length
         if length is not None and length > limit:
             raise RequestError(ErrorReason.TOO_LARGE)
+        reserved = self._dependencies.request_memory.reserve(
+            length if length is not None or self._request.can_read_body else 0
+        )
+        if reserved is None:
+            raise RequestError(ErrorReason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
+        self._reserved = reserved
         if self._request.headers.get("Expect", "").lower() == "100-continue":
             self._request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._body = RequestBody(self._request, limit, self._dependencies.body_idle_timeout)
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from fuchsiatrack.gateway.forwarder import Exchange, ExchangeDependencies, Outcome
+from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.metrics import Metrics
 
@@ -26,10 +27,26 @@
 log = logging.getLogger(__name__)
 
 
+class _ResponseWriter(ResponseReceiver):
+    """Holds a response until the caller on *connection* has read most of it."""
+
+    def __init__(self, connection: web.RequestHandler) -> None:
+        self._connection = connection
+
+    def discard_response(self, reason: str) -> None:
+        log.warning("response to a slow caller discarded", extra={"why": reason})
+        if self._connection.transport is not None:
+            # A response that ends early must not look complete.
+            self._connection.transport.abort()
+
+
 class CallerListener:
-    """Accepts requests from callers."""
+    """Accepts requests from callers; *memory* counts the responses that they haven't read yet."""
 
-    def __init__(self, dependencies: ExchangeDependencies, metrics: Metrics) -> None:
+    def __init__(
+        self, dependencies: ExchangeDependencies, metrics: Metrics, memory: ResponseMemory
+    ) -> None:
+        self._memory = memory
         self._dependencies = dependencies
         self._metrics = metrics
         self._is_draining = False
@@ -131,8 +148,19 @@
         self._record_outcome(exchange.outcome)
         if self._is_draining:
             response.force_close()
+        await self._write(request, response)
         return response
 
+    async def _write(self, request: web.BaseRequest, response: web.Response) -> None:
+        """Write *response*, which counts as held until it has left this process for the most."""
+        writer = _ResponseWriter(request.protocol)
+        self._memory.add(writer, len(response.body or b""))
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        finally:
+            self._memory.remove(writer)
+
     def _record_outcome(self, outcome: Outcome) -> None:
         self._metrics.count(f"requests.status.{outcome.status}")
         self._metrics.time("requests.latency", outcome.elapsed)
--- a/src/fuchsiatrack/gateway/responsememory.py
+++ b/src/fuchsiatrack/gateway/responsememory.py
@@ -1,4 +1,4 @@
-"""Bounds on the memory of responses that are being received."""
+"""Bounds on the memory of responses that are received from servers or written to callers."""
 
 from __future__ import annotations
 
@@ -6,20 +6,31 @@
 
 # Largest response of one server, head and body.
 MAX_RESPONSE_BYTES = 16 * 2**20
-# Bound on all responses that are being received: a fifth of a VM's memory.
+# Bound on all responses together, and the share of a smaller process limit that they may take.
 MAX_TOTAL_BYTES = 60 * 2**20
+MAX_TOTAL_RATIO = 0.2
+
+
+def body_limit(process_limit: int) -> int:
+    """Return the bound on all responses in a process that is killed above *process_limit* bytes.
+
+    A limit of 0 is unknown.  Requests have the same bound.
+    """
+    if not process_limit:
+        return MAX_TOTAL_BYTES
+    return min(MAX_TOTAL_BYTES, int(process_limit * MAX_TOTAL_RATIO))
 
 
 class ResponseReceiver(abc.ABC):
-    """Receives one response at a time."""
+    """Holds one response at a time: receives it, or waits until its caller has read it."""
 
     @abc.abstractmethod
     def discard_response(self, reason: str) -> None:
-        """Stop receiving, and fail the request; *reason* is for logs."""
+        """Drop the response and close the connection; *reason* is for logs."""
 
 
 class ResponseMemory:
-    """Counts the bytes received for each incomplete response.
+    """Counts the bytes of each response until its caller has read it.
 
     A response above `max_response` bytes is discarded, and the largest one if all of them together
     exceed `max_total`, so that one faulty server does not cost other servers their responses.
@@ -35,7 +46,7 @@
 
     @property
     def total(self) -> int:
-        """Bytes of all incomplete responses."""
+        """Bytes of all responses that are being received or written."""
         return self._total
 
     def add(self, receiver: ResponseReceiver, size: int) -> None:
--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -19,7 +19,11 @@
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
+from fuchsiatrack.gateway.responsememory import (
+    MAX_RESPONSE_BYTES,
+    ResponseMemory,
+    ResponseReceiver,
+)
 from fuchsiatrack.kernel.verdict import Verdict
 
 # Connections that have been idle for longer are closed instead of reused.
@@ -28,6 +32,15 @@
 IDLE_MARGIN_MS = 1_000
 # Largest head of a response, with interim responses before it.
 MAX_HEAD_BYTES = 65_536
+MAX_INTERIM_RESPONSES = 32
+# Bytes of chunk heads and trailers that a response may have: this many, and a share of its body.
+# Parsing them takes much longer than parsing a body.
+MAX_FRAMING_BYTES = 16_384
+MAX_FRAMING_RATIO = 1 / 16
+# Received at once, while everything else waits.
+MAX_RECEIVE_BYTES = 65_536
+# Parsed before the limits are checked.
+PARSE_BYTES = 8_192
 READ_BUFFER_BYTES = 262_144
 # SO_LINGER with a timeout of zero: closing the socket sends a reset instead of an orderly end.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -65,12 +78,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutgoingRequest:
-    """A request to write; a bytes `body` is sent with its length, an iterator in chunks."""
+    """A request to write; a bytes `body` is sent with its length, an iterator in chunks.
+
+    A response of more than `max_response` bytes is discarded.
+    """
 
     method: str
     target: str
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes]
+    max_response: int = MAX_RESPONSE_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,21 +97,30 @@
     status: int
     reason: str
     headers: CIMultiDictProxy[str]
-    body: bytes
+    body: bytes | bytearray
 
 
 class ServerConnection(BaseProtocol, ResponseReceiver):
     """One connection to a backend server.
 
-    `bytes_sent` and `bytes_received` count since the connection was opened or last reused.
+    The body is taken out of the parser's reader with each data that arrives, so that the reader
+    never holds much, and dropped at once when the response fails.  `bytes_sent` and
+    `bytes_received` count since the connection was opened or last reused.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, memory: ResponseMemory) -> None:
         super().__init__(loop)
         self._memory = memory
+        # Of the current response, as received.
+        self._received = 0
         self._head_size = 0
-        self._head: asyncio.Future[tuple[RawResponseMessage, StreamReader]] | None = None
+        self._interim_responses = 0
+        self._max_response = MAX_RESPONSE_BYTES
+        self._response: asyncio.Future[RawResponseMessage] | None = None
+        self._message: RawResponseMessage | None = None
         self._payload: StreamReader | None = None
+        self._body = bytearray()
+        self._is_collecting = False
         self._error: Exception | None = None
         self._must_close = False
         self.is_reused = False
@@ -133,8 +159,11 @@
         """
         if not self.is_usable:
             raise RequestFailed("connection closed before the request was sent", Verdict.NOT_RUN)
-        self._head = self._loop.create_future()
-        self._head_size = 0
+        self._response = self._loop.create_future()
+        self._received = self._head_size = self._interim_responses = 0
+        self._max_response = request.max_response
+        self._message = self._payload = None
+        self._body = bytearray()
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -151,28 +180,28 @@
             self.abort()
             raise
         finally:
-            self._head = None
+            self._response = None
+            self._payload, self._body = None, bytearray()
             self._memory.remove(self)
 
     async def _send_request(self, request: OutgoingRequest) -> ServerResponse:
         body_writer = await self._write_request(request)
         try:
-            message, payload = await self._head
-            body = await payload.read()
+            message = await self._response
         except (OSError, HttpProcessingError, EOFError) as error:
             raise RequestFailed(f"incomplete response: {error!r}", Verdict.MAY_HAVE_RUN) from error
         except Exception as error:
-            # The reader raises any exception that the parser or the connection set on it.
+            # What the parser or the writer of the body raised.
             raise RequestFailed(f"malformed response: {error!r}", Verdict.MAY_HAVE_RUN) from error
         finally:
             if body_writer is not None and not body_writer.done():
                 # The server responded before it received the whole body.
                 body_writer.cancel()
                 self._must_close = True
-        if not payload.is_eof() or self._error is not None:
+        if self._error is not None:
             raise RequestFailed(f"incomplete response: {self._error!r}", Verdict.MAY_HAVE_RUN)
         self._update_reusability(message)
-        return ServerResponse(message.code, message.reason or "", message.headers, body)
+        return ServerResponse(message.code, message.reason or "", message.headers, self._body)
 
     def _update_reusability(self, message: RawResponseMessage) -> None:
         """Decide whether the connection can be reused."""
@@ -221,13 +250,27 @@
 
     # asyncio protocol
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # The size of the reads of asyncio's transports.
+        transport.max_size = MAX_RECEIVE_BYTES
+
     def data_received(self, data: bytes) -> None:
         self.bytes_received += len(data)
-        if self._parser is None or self._head is None:
+        if self._parser is None or self._response is None:
             if data:
                 # Unsolicited data.
                 self.abort()
             return
+        # Without data when the parser is resumed.
+        for start in range(0, max(len(data), 1), PARSE_BYTES):
+            if self._response.done():
+                # Bytes after the response, or after its failure.
+                self._must_close = True
+                return
+            self._parse(data[start : start + PARSE_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         try:
             messages, _, trailing = self._parser.feed_data(data)
         except HttpProcessingError as error:
@@ -238,15 +281,45 @@
             self._handle_message(message, payload)
         if trailing:
             self._must_close = True
+        self._collect_body()
         self._count_received(len(data))
+        self._complete()
+
+    def _collect_body(self) -> None:
+        """Move the part of the body that has arrived out of the parser's reader.
+
+        Reading from it may resume the parser, which calls `data_received` again.
+        """
+        if self._payload is None or self._is_collecting or self._payload.exception() is not None:
+            return
+        self._is_collecting = True
+        try:
+            while part := self._payload.read_nowait():
+                self._body += part
+        finally:
+            self._is_collecting = False
 
     def _count_received(self, size: int) -> None:
-        if not self._head.done():
-            self._head_size += size
-            if self._head_size > MAX_HEAD_BYTES:
-                self.discard_response(f"head exceeds {MAX_HEAD_BYTES} bytes")
-                return
-        self._memory.add(self, size)
+        self._received += size
+        if self._message is None:
+            self._head_size = self._received
+        framing = self._received - self._head_size - len(self._body)
+        if self._head_size > MAX_HEAD_BYTES or self._interim_responses > MAX_INTERIM_RESPONSES:
+            self.discard_response(f"head exceeds {MAX_HEAD_BYTES} bytes, or is repeated")
+        elif framing > PARSE_BYTES + MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * len(self._body):
+            # The end of the head and the start of the body may be parsed together.
+            self.discard_response(f"{framing} bytes frame a body of {len(self._body)} bytes")
+        elif self._received > self._max_response:
+            self.discard_response(f"response exceeds {self._max_response} bytes")
+        else:
+            self._memory.add(self, size)
+
+    def _complete(self) -> None:
+        """Pass the response on once its body is complete."""
+        is_waiting = self._response is not None and not self._response.done()
+        if is_waiting and self._payload is not None and self._payload.is_eof():
+            self._collect_body()
+            self._response.set_result(self._message)
 
     def discard_response(self, reason: str) -> None:
         self._fail(ConnectionAbortedError(reason))
@@ -254,13 +327,13 @@
 
     def _handle_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
+            self._interim_responses += 1
             return
-        if self._payload is not None or self._head is None or self._head.done():
+        if self._message is not None or self._response is None or self._response.done():
             # More than one response to one request.
             self._must_close = True
             return
-        self._payload = payload
-        self._head.set_result((message, payload))
+        self._message, self._payload = message, payload
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if exc is None and self._parser is not None:
@@ -269,25 +342,26 @@
                 self._parser.feed_eof()
             except Exception as error:
                 self._fail(error)
+            self._collect_body()
+            self._complete()
         elif exc is not None:
             self._fail(exc if isinstance(exc, Exception) else ConnectionResetError(str(exc)))
-        if self._head is not None and not self._head.done():
-            self._fail(ConnectionResetError("connection closed before a response"))
+        if self._response is not None and not self._response.done():
+            self._fail(ConnectionResetError("connection closed before a complete response"))
         self._must_close = True
         super().connection_lost(exc)
 
     def _fail(self, error: Exception) -> None:
         self._error = self._error or error
-        if self._head is not None and not self._head.done():
-            self._head.set_exception(error)
-        elif self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
+        # Freed now, as the error's traceback may keep this connection for long.
+        self._payload, self._body = None, bytearray()
+        if self._response is not None and not self._response.done():
+            self._response.set_exception(error)
 
     def prepare_reuse(self) -> None:
         """Prepare the connection for another request."""
         self.is_reused = True
         self.bytes_sent = self.bytes_received = 0
-        self._payload = None
 
 
 def set_keepalive(sock: socket.socket, settings: KeepaliveSettings = SERVER_KEEPALIVE) -> None:
--- a/src/fuchsiatrack/gateway/settings.py
+++ b/src/fuchsiatrack/gateway/settings.py
@@ -36,7 +36,8 @@
     `max_hold` is the longest grant that backend servers accept.  A graceful stop takes at most
     `stop_grace`.  A configuration has to be in force `config_apply` after its acknowledgement, on a
     link of `link_rate` bytes per millisecond, 0 if unknown.  `max_record_size` is the size in bytes
-    of the largest record of the log service.
+    of the largest record of the log service.  The platform kills a process that uses more than
+    `memory` bytes, 0 if unknown.
     """
 
     vm: str
@@ -54,6 +55,7 @@
     config_apply: int = 2_000
     link_rate: float = 0.0
     max_record_size: int = MAX_RECORD_BYTES
+    memory: int = 0
 
     @property
     def max_read_size(self) -> int:
--- a/src/fuchsiatrack/platform/grantclient.py
+++ b/src/fuchsiatrack/platform/grantclient.py
@@ -37,6 +37,8 @@
 # A release always opens a connection: responses carry no id, and a second copy of an earlier one
 # would state that the server has given up the keys.
 RELEASE_MAX_IDLE_MS = 0
+# Responses to grants and releases have no body that anything reads.
+MAX_GRANT_RESPONSE_BYTES = 65_536
 
 
 class HttpRangeGrantClient(RangeGrantClient):
@@ -89,7 +91,9 @@
         headers = CIMultiDict(
             {"Host": address, "Content-Type": "application/json", EXPECTED_SERVER: server.id}
         )
-        request = OutgoingRequest("POST", path, headers, json.dumps(body).encode())
+        request = OutgoingRequest(
+            "POST", path, headers, json.dumps(body).encode(), MAX_GRANT_RESPONSE_BYTES
+        )
         connection = None
         send_by = self._clock.now() + timeout
         try:
--- a/src/fuchsiatrack/platform/logservice.py
+++ b/src/fuchsiatrack/platform/logservice.py
@@ -49,6 +49,12 @@
 KEEPALIVE = KeepaliveSettings(idle_s=1, interval_s=1, probes=1, unacknowledged_ms=2_000)
 MAX_LISTING_PAGES = 200
 MAX_READ_BYTES = 2**20
+# Longest response to an append, to a read, and of one page of a listing, which has 1 MB of records
+# in base64.
+MAX_APPEND_RESPONSE_BYTES = 65_536
+MAX_PAGE_BYTES = 4 * 2**20
+# Of all pages of a listing together.
+MAX_LISTING_BYTES = 32 * 2**20
 # A response to a read starts with the stream's end and its first retained offset; records follow.
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
@@ -78,8 +84,14 @@
         query = {"Topic": COMPACTED_TOPIC_PREFIX + stream.topic, "part": str(stream.part)}
         records: list[CompactedRecord] = []
         end: int | None = None
+        size = 0
         for _ in range(MAX_LISTING_PAGES):
-            status, body = await self._get("/-/log-newest", query, READ_TIMEOUT_MS, attempt)
+            status, body = await self._get(
+                "/-/log-newest", query, READ_TIMEOUT_MS, MAX_PAGE_BYTES, attempt
+            )
+            size += len(body)
+            if size > MAX_LISTING_BYTES:
+                raise PlatformUnavailable(f"listing has more than {MAX_LISTING_BYTES} bytes")
             if status == 404:
                 # Treated as the end of the listing.
                 return CompactedPage(tuple(records), end or 0)
@@ -104,7 +116,8 @@
             "WaitMs": str(wait),
             "MaxKb": str(self._max_read_kib),
         }
-        status, body = await self._get("/-/log-read", query, wait + READ_TIMEOUT_MS, attempt)
+        timeout = wait + READ_TIMEOUT_MS
+        status, body = await self._get("/-/log-read", query, timeout, MAX_PAGE_BYTES, attempt)
         if status == 404:
             # Treated as an empty page.  Wait here, since the log service did not.
             await asyncio.sleep(min(wait, READ_TIMEOUT_MS) / 1_000)
@@ -134,7 +147,9 @@
                 "Sequence": str(writer.sequence),
             }
         data = b"".join(_encode_record(key, value) for key, value in records)
-        status, body = await self._call("POST", "/-/log-append", query, APPEND_TIMEOUT_MS, data)
+        status, body = await self._call(
+            "POST", "/-/log-append", query, APPEND_TIMEOUT_MS, MAX_APPEND_RESPONSE_BYTES, data
+        )
         if status == 200:
             return _decode_offset(body, "End")
         detail = body[:200].decode("utf-8", "replace")
@@ -150,9 +165,9 @@
             await session.close()
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout: int, attempt: Attempt | None
+        self, path: str, query: dict[str, str], timeout: int, limit: int, attempt: Attempt | None
     ) -> tuple[int, bytes]:
-        return await self._call("GET", path, query, timeout, None, attempt)
+        return await self._call("GET", path, query, timeout, limit, None, attempt)
 
     async def _call(
         self,
@@ -160,10 +175,14 @@
         path: str,
         query: dict[str, str],
         timeout: int,
+        limit: int,
         data: bytes | None,
         attempt: Attempt | None = None,
     ) -> tuple[int, bytes]:
-        """Return status and body; raise PlatformUnavailable unless a complete response arrives."""
+        """Return status and body; raise PlatformUnavailable unless a complete response arrives.
+
+        One of more than *limit* bytes is discarded, and its connection closed.
+        """
         # aiohttp's total timeout loses a cancellation that arrives at the moment when it expires.
         client_timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000)
         try:
@@ -175,12 +194,11 @@
             ):
                 if attempt is not None:
                     attempt.record_response_start()
-                if data is None:
-                    body = await _read_body(response, response_timeout)
-                else:
-                    body = await response.read()
+                body = await _read_body(response, limit, response_timeout if data is None else None)
         except _CALL_ERRORS as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
+        if body is None:
+            raise PlatformUnavailable(f"{path}: response exceeds {limit} bytes")
         if self._traffic is not None:
             self._traffic.add(TrafficPurpose.LOG, "", len(data or b""), len(body))
         return response.status, body
@@ -201,17 +219,26 @@
         return session
 
 
-async def _read_body(response: aiohttp.ClientResponse, timeout: asyncio.Timeout) -> bytes:
-    """Return the body; *timeout* follows its arrival, so that a slow response isn't cut off."""
+async def _read_body(
+    response: aiohttp.ClientResponse, limit: int, timeout: asyncio.Timeout | None
+) -> bytes | None:
+    """Return the body, None if it has more than *limit* bytes.
+
+    *timeout*, if any, follows its arrival, so that a slow response isn't cut off.
+    """
     loop = asyncio.get_running_loop()
     end = loop.time() + BODY_TIMEOUT_MS / 1_000
     body = bytearray()
     while True:
-        timeout.reschedule(min(end, loop.time() + BODY_PART_TIMEOUT_MS / 1_000))
+        if timeout is not None:
+            timeout.reschedule(min(end, loop.time() + BODY_PART_TIMEOUT_MS / 1_000))
         part = await response.content.readany()
         if not part:
             return bytes(body)
         body += part
+        if len(body) > limit:
+            response.close()
+            return None
 
 
 def _create_socket(info: tuple) -> socket.socket:
--- a/src/fuchsiatrack/platform/settings.py
+++ b/src/fuchsiatrack/platform/settings.py
@@ -14,6 +14,7 @@
 # Port of the metrics endpoint; deploy/system.toml has the same number.
 METRICS_PORT = 9464
 BYTES_PER_MS_PER_MBPS = 125.0
+BYTES_PER_MB = 1_000_000
 
 
 def load_settings(path: pathlib.Path) -> GatewaySettings:
@@ -47,12 +48,12 @@
             field(table, "Terms.Bounds.BudgetSlack", float),
             duration(bounds.get("BudgetWindow"), "Terms.Bounds.BudgetWindow"),
         ),
-        **_decode_read_limits(table, bounds),
+        **_decode_limits(table, bounds),
     )
 
 
-def _decode_read_limits(table: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
-    """Return the settings, where given, from which the delay of the configuration follows."""
+def _decode_limits(table: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+    """Return the limits of the VM and of the log service that are given."""
     limits: dict[str, Any] = {}
     if "ConfigApply" in bounds:
         limits["config_apply"] = duration(bounds["ConfigApply"], "Terms.Bounds.ConfigApply")
@@ -61,6 +62,8 @@
         if rate <= 0:
             raise ValueError(f"Self.Limits.LinkMbps: expected a positive number (got {rate})")
         limits["link_rate"] = rate * BYTES_PER_MS_PER_MBPS
+    if "MemoryMb" in table["Self"].get("Limits", {}):
+        limits["memory"] = natural(table, "Self.Limits.MemoryMb", 1) * BYTES_PER_MB
     if "RecordBytes" in table["Platform"]["Platform"]:
         limits["max_record_size"] = natural(table, "Platform.Platform.RecordBytes", 1)
     return limits
