Forward uploads with Content-Encoding as they come

Cause: the parser of the callers' listener decodes bodies by default, as the claim says; the one of responses doesn't.

--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -67,6 +67,8 @@
             max_field_size=MAX_HEADER_BYTES,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=1.0,
+            # Bodies are forwarded as they come, and would take many times their size when decoded.
+            auto_decompress=False,
         )
         # `stop` has waited for requests before it closes the runner.
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import pathlib
 from collections.abc import AsyncIterator
 
@@ -121,6 +122,21 @@
 class TestCallers:
     """What callers send and don't read."""
 
+    async def test_encoded_upload_is_not_decoded(self, tmp_path: pathlib.Path):
+        """Guards against uploads that take hundreds of times their size, and run changed."""
+        async with run_fleet() as fleet:
+            uploads = route("uploads", "/uploads/", "upload", "vault")
+            fleet.publish(1, [uploads])
+            server = await fleet.add_server("vault-0", "vault")
+            await fleet.add_daemon("entry-1")
+            await fleet.wait_ready()
+            body = gzip.compress(b"\0" * 400_000)
+            headers = {"Content-Encoding": "gzip"}
+            status, _, _ = await fleet.call("/uploads/1", method="POST", body=body, headers=headers)
+            assert status == 200
+            # The stand-in's own parser decodes the body.
+            assert server.runs[-1].body == gzip.decompress(body)
+
     async def test_response_that_is_not_read_is_counted(self):
         """Guards against slow callers for whom a daemon holds any number of responses."""
         async with run_fleet() as fleet:
