Ignore SIGHUP until the daemon handles it

Cause: the default action was in force while Python started and the modules were imported. Change: the entry point ignores the signal first; the settings file's time is taken before the file is read, so that the change is noticed within a second.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -58,15 +58,25 @@
 
 
 class GatewayDaemon:
-    """A gateway daemon with its listeners and background tasks."""
+    """A gateway daemon with its listeners and background tasks.
+
+    *settings* were read from *settings_path* when that file had the time *settings_mtime_ns*, its
+    present one by default.
+    """
 
     def __init__(
-        self, adapter: PlatformAdapter, settings: GatewaySettings, settings_path: pathlib.Path
+        self,
+        adapter: PlatformAdapter,
+        settings: GatewaySettings,
+        settings_path: pathlib.Path,
+        settings_mtime_ns: int | None = None,
     ) -> None:
         self._adapter = adapter
         self._settings = settings
         self._settings_path = settings_path
-        self._settings_mtime_ns = _modification_time_ns(settings_path)
+        if settings_mtime_ns is None:
+            settings_mtime_ns = modification_time_ns(settings_path)
+        self._settings_mtime_ns = settings_mtime_ns
         self._clock = SystemClock()
         self._rng = random.Random()
         self._stop = asyncio.Event()
@@ -322,7 +332,7 @@
 
     def _reload(self) -> None:
         """Reload the settings file; keep the previous settings if it is unusable."""
-        self._settings_mtime_ns = _modification_time_ns(self._settings_path)
+        self._settings_mtime_ns = modification_time_ns(self._settings_path)
         try:
             settings = self._adapter.load_settings(self._settings_path)
         except SettingsError as error:
@@ -332,11 +342,15 @@
         self._settings = settings
         log.info("settings reloaded", extra={"changed": changed})
 
+    def _reload_if_changed(self) -> None:
+        """Reload the settings file if it was modified, which no signal may have told."""
+        if modification_time_ns(self._settings_path) != self._settings_mtime_ns:
+            self._reload()
+
     async def _run_housekeeping(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_INTERVAL_MS)
-            if _modification_time_ns(self._settings_path) != self._settings_mtime_ns:
-                self._reload()
+            self._reload_if_changed()
             listed = frozenset((item.id, item.address) for item in self._directory.entries.values())
             self._connections.sweep(listed)
             self._queues.keep_only(frozenset(self._directory.entries))
@@ -377,7 +391,8 @@
     return ReadDelay(settings.link_rate, settings.max_read_size)
 
 
-def _modification_time_ns(path: pathlib.Path) -> int:
+def modification_time_ns(path: pathlib.Path) -> int:
+    """Return when the file *path* was modified last, 0 if that can't be read."""
     try:
         return path.stat().st_mtime_ns
     except OSError as error:
--- a/src/fuchsiatrack/gateway/main.py
+++ b/src/fuchsiatrack/gateway/main.py
@@ -11,7 +11,7 @@
 from absl import app, flags
 
 from fuchsiatrack.gateway.adapter import PlatformAdapter
-from fuchsiatrack.gateway.daemon import GatewayDaemon
+from fuchsiatrack.gateway.daemon import GatewayDaemon, modification_time_ns
 from fuchsiatrack.gateway.settings import GatewaySettings, SettingsError
 from fuchsiatrack.kernel import logs, registry
 
@@ -31,6 +31,8 @@
     registry.load_plugins("fuchsiatrack.platform")
     path = pathlib.Path(_SETTINGS.value or os.environ.get(SETTINGS_VARIABLE, ""))
     adapter = registry.find("adapter", _ADAPTER.value)()
+    # Before the settings are read, so that a change during that isn't missed.
+    mtime_ns = modification_time_ns(path)
     try:
         settings = adapter.load_settings(path)
     except SettingsError as error:
@@ -39,12 +41,14 @@
     logs.configure(settings.vm, _LOG_LEVEL.value, bounded=True)
     gc.set_threshold(GC_THRESHOLD_OBJECTS)
     gc.freeze()
-    asyncio.run(_serve(adapter, settings, path))
+    asyncio.run(_serve(adapter, settings, path, mtime_ns))
     return 0
 
 
-async def _serve(adapter: PlatformAdapter, settings: GatewaySettings, path: pathlib.Path) -> None:
-    await GatewayDaemon(adapter, settings, path).run()
+async def _serve(
+    adapter: PlatformAdapter, settings: GatewaySettings, path: pathlib.Path, mtime_ns: int
+) -> None:
+    await GatewayDaemon(adapter, settings, path, mtime_ns).run()
 
 
 def run() -> None:
--- a/src/fuchsiatrack_gateway.py
+++ b/src/fuchsiatrack_gateway.py
@@ -1,6 +1,17 @@
 """Run the gateway daemon from a checkout."""
 
-from fuchsiatrack.gateway.main import run
+import signal
+
+
+def main() -> None:
+    """Run the daemon until it is stopped."""
+    # The imports take long, and the default action of SIGHUP ends the process.  The settings are
+    # read after them; the daemon handles the signal once it runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from fuchsiatrack.gateway.main import run
 
-if __name__ == "__main__":
     run()
+
+
+if __name__ == "__main__":
+    main()
