Send no upload whose caller has left while it waited

Cause: the connection of a large body that waits isn't read beyond 512 KiB, so that its end isn't noticed. Change: the kernel is asked right before the send.

--- /dev/null
+++ b/src/fuchsiatrack/gateway/callerconnection.py
@@ -0,0 +1,22 @@
+"""What the kernel knows of a caller's connection."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+
+
+def has_left(transport: asyncio.BaseTransport | None) -> bool:
+    """Return whether the caller has closed its side of the connection.
+
+    The event loop notices that only once it has read everything before the end, and it doesn't read
+    while a large body waits.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    raw_socket = transport.get_extra_info("socket")
+    if raw_socket is None:
+        return False
+    poll = select.poll()
+    poll.register(raw_socket.fileno(), select.POLLRDHUP)
+    return any(events & (select.POLLRDHUP | select.POLLHUP) for _, events in poll.poll(0))
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -19,6 +19,7 @@
     affordable_wait,
     initial_limit,
 )
+from fuchsiatrack.gateway.callerconnection import has_left
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
 from fuchsiatrack.gateway.requestmemory import RequestMemory
@@ -365,6 +366,7 @@
                 if self._has_arrived and not await self._acquire_retry_permit():
                     raise RequestError(ErrorReason.RETRY_BUDGET, retry_after_ms=RETRY_AFTER_MS)
                 self._check_current(entry, selection_request, stats)
+                self._check_caller()
                 return await self._send_admitted(
                     entry, route, request_metadata, selection_request, connection_share
                 )
@@ -425,6 +427,14 @@
         if pause:
             raise self._backoff_error(pause, stats)
 
+    def _check_caller(self) -> None:
+        """Raise RequestError if the caller has left while a large body of its request waited."""
+        if self._body.is_buffered or not has_left(self._request.transport):
+            return
+        if self._request.transport is not None:
+            self._request.transport.abort()
+        raise RequestError(ErrorReason.CALLER_LEFT)
+
     def _backoff_error(self, pause: int, stats: ServerStats) -> RequestError:
         retry_after = pause + self._time_to_room(stats)
         return RequestError(ErrorReason.SERVER_BACKOFF, retry_after_ms=retry_after)
@@ -466,6 +476,7 @@
             try:
                 # Opening a connection takes time.
                 self._check_current(entry, selection_request, stats)
+                self._check_caller()
             except RequestError:
                 dependencies.connections.release(entry.id, entry.address, connection)
                 raise
--- a/src/fuchsiatrack/gateway/retrypolicy.py
+++ b/src/fuchsiatrack/gateway/retrypolicy.py
@@ -52,7 +52,7 @@
         return None
     if not failed_send.can_resend or failed_send.sends >= MAX_SENDS:
         return None
-    if failed_send.reason is ErrorReason.RETRY_BUDGET:
+    if failed_send.reason in (ErrorReason.RETRY_BUDGET, ErrorReason.CALLER_LEFT):
         return None
     if failed_send.failed_connects >= MAX_FAILED_CONNECTS:
         return None
--- a/src/fuchsiatrack/routing/errors.py
+++ b/src/fuchsiatrack/routing/errors.py
@@ -50,6 +50,8 @@
     TRUNCATED = ("truncated-answer", 502)
     # The response's request id is not that of the request.
     RESPONSE_MISMATCH = ("crossed-answer", 502)
+    # The caller closed its connection; nobody gets the response.
+    CALLER_LEFT = ("caller-left", 503)
     # The caller stopped sending the body.
     SLOW_CALLER = ("slow-caller", 408)
     # The server's status is 5xx and another server may be tried, or it is 408, 421, 429 or 503,
--- a/src/fuchsiatrack/routing/requestbody.py
+++ b/src/fuchsiatrack/routing/requestbody.py
@@ -33,7 +33,12 @@
     @property
     def can_resend(self) -> bool:
         """Whether the whole body is available for the next send."""
-        return self._buffered is not None or not self.started
+        return self.is_buffered or not self.started
+
+    @property
+    def is_buffered(self) -> bool:
+        """Whether the whole body has been read into memory."""
+        return self._buffered is not None
 
     @property
     def length(self) -> int | None:
