--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -124,7 +124,7 @@
             await asyncio.sleep(0)
         idle = [item for item in self._server.connections if item not in self._exchanges]
         for connection in idle:
-            connection.force_close()
+            connection.close_for("idle at a stop")
         log.info(
             "idle connections closed",
             extra={"closed": len(idle), "busy": len(self._exchanges)},
