Accept the connections that wait at the listener before it closes

Cause: closing a listening socket resets what waits in its queue, which the daemon has not accepted yet and so logged nothing of. The queue is accepted before the close. Connections whose handshakes are under way would join it between the last accept and the close, so a socket filter drops new SYNs 100 ms before; their callers are refused when they repeat them, which says that nothing was sent.

--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -10,13 +10,13 @@
 
 from fuchsiatrack.gateway.callerprotocol import MAX_HEAD_BYTES, CallerProtocolServer
 from fuchsiatrack.gateway.forwarder import Exchange, ExchangeDependencies, Outcome
+from fuchsiatrack.gateway.listeningsocket import ListeningSocket
 from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.metrics import Metrics
 
 # Longer than callers keep idle connections, so that callers close them first.
 KEEPALIVE_TIMEOUT_S = 75.0
-BACKLOG_CONNECTIONS = 1_024
 # At a stop, connections stay open for this long after the listener is closed: one that was accepted
 # just before has its first request still under way.
 QUIET_PERIOD_MS = 300
@@ -51,7 +51,7 @@
         self._is_draining = False
         self._all_idle = asyncio.Event()
         self._all_idle.set()
-        self._runner: web.ServerRunner | None = None
+        self._socket: ListeningSocket | None = None
         self._server: web.Server | None = None
         # The requests in flight, by connection.
         self._exchanges: dict[web.RequestHandler, Exchange] = {}
@@ -69,11 +69,8 @@
             # Bodies are forwarded as they come, and would take many times their size when decoded.
             auto_decompress=False,
         )
-        # `stop` has waited for requests before it closes the runner.
-        self._runner = web.ServerRunner(self._server, shutdown_timeout=0)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, endpoint.host, endpoint.port, backlog=BACKLOG_CONNECTIONS)
-        await site.start()
+        self._socket = ListeningSocket(self._server)
+        await self._socket.open(endpoint)
 
     @property
     def in_flight(self) -> int:
@@ -94,8 +91,7 @@
 
         Requests that are still in flight then are answered by the daemon.
         """
-        for site in tuple(self._runner.sites):
-            await site.stop()
+        await self._socket.close()
         try:
             async with asyncio.timeout(timeout / 1_000):
                 await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
@@ -105,7 +101,8 @@
             await self._end_requests()
         # Responses that were just written may not have been sent yet.
         await asyncio.sleep(0.05)
-        await self._runner.cleanup()
+        # Requests have been awaited, so that this waits for none.
+        await self._server.shutdown()
 
     async def _end_requests(self) -> None:
         """Answer the requests in flight: as not run if they have not been sent."""
