End callers' connections without dropping what was written to them

Cause: the daemon closed its socket 1 s after such a response while the caller still sent. A socket that is closed with unread bytes, or gets bytes afterwards, is reset, and the reset makes the caller lose the response. The class is every close after a response.

OrderlyTransport ends only the sending side, and discards what arrives until the caller has closed its side, is silent for 500 ms, or 30 s have passed. The rest of a body is discarded for as long, so that the connection serves the next request. A head that is too large is answered after earlier requests instead of dropping them. A caller that awaits 100-continue gets a final response with Connection: close.

--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -1,49 +1,73 @@
-"""HTTP protocol of callers' connections, which bounds heads and reports unanswered requests."""
+"""HTTP protocol of callers' connections, which knows what each connection owes its caller."""
 
 from __future__ import annotations
 
+import asyncio
 import logging
 
 from aiohttp import StreamReader, web
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import _ErrInfo
+
+from fuchsiatrack.gateway.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
-HEAD_TOO_LARGE_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-)
 
 log = logging.getLogger(__name__)
 
 
+class RejectedRequest(Exception):
+    """A request that is answered with an error before it has arrived."""
+
+
 class CallerProtocol(web.RequestHandler):
-    """Connection of one caller, which is closed once the head of a request is too large.
+    """Connection of one caller.
 
-    aiohttp bounds each field and their number, but not their sum.  A connection that ends with a
-    request unanswered is logged, with the side that ended it.
+    It is closed once the head of a request is too large: aiohttp bounds each field and their
+    number, but not their sum.  A connection that ends with a request unanswered is logged, with the
+    side that ended it.
     """
 
-    __slots__ = ("_head_size", "_body", "_closed_for")
+    __slots__ = ("_head_size", "_body", "_closed_for", "_takes_requests")
 
     def __init__(self, *arguments: object, **options: object) -> None:
-        super().__init__(*arguments, **options)
+        super().__init__(*arguments, lingering_time=DISCARD_MAX_MS / 1_000, **options)
         # What has arrived of the head that isn't complete.
         self._head_size = 0
         # The body of the latest request.
         self._body: StreamReader | None = None
         # Why the daemon ends the connection.
         self._closed_for = ""
+        self._takes_requests = True
 
     @property
     def unanswered(self) -> int:
         """How many requests have been read without a complete response."""
         return len(self._messages) + self._request_in_progress
 
-    def close_for(self, reason: str) -> None:
-        """Close the connection; *reason* is for logs."""
+    @property
+    def _is_reading_body(self) -> bool:
+        return self._body is not None and not self._body.is_eof()
+
+    def close_idle(self, reason: str) -> None:
+        """Close the connection, which is idle; *reason* is for logs.
+
+        A request that crosses the close isn't read, so that its caller may send it again.
+        """
         self._closed_for = reason
+        self.transport.close_at_once()
         self.force_close()
 
+    def expect_no_body(self) -> None:
+        """Close the connection after the response, without waiting for the request's body."""
+        self._lingering_time = 0.0
+
+    # asyncio protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(OrderlyTransport(transport, self))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         if self.unanswered or self._head_size:
             fields = {
@@ -57,24 +81,45 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        is_reading_body = self._body is not None and not self._body.is_eof()
+        if not self._takes_requests:
+            return
+        was_reading_body = self._is_reading_body
         requests_before = self._request_count
         super().data_received(data)
         if self._request_count != requests_before:
             _, self._body = self._messages[-1]
-        if is_reading_body or self._request_count != requests_before:
+        if was_reading_body or self._request_count != requests_before:
             self._head_size = 0
             return
         self._head_size += len(data)
-        if self._head_size > MAX_HEAD_BYTES and self.transport is not None:
-            self._reject_head()
-
-    def _reject_head(self) -> None:
-        log.warning("head of a request too large", extra={"bytes": self._head_size})
-        if self._current_request is None and not self._messages:
-            self.transport.write(HEAD_TOO_LARGE_RESPONSE)
-        # An earlier request on this connection gets no response after one to a later request.
-        self.close_for("head too large")
+        if self._head_size > MAX_HEAD_BYTES:
+            self._reject(431, "head of a request too large")
+
+    def _reject(self, status: int, message: str) -> None:
+        """Respond with *status* after the responses to earlier requests, and take no other."""
+        log.warning(message, extra={"bytes": self._head_size})
+        self._takes_requests = False
+        self._head_size = 0
+        error = _ErrInfo(status=status, exc=RejectedRequest(message), message=message)
+        self._messages.append((error, EMPTY_PAYLOAD))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    # aiohttp's hooks
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        log.info("request rejected", extra={"status": status, "why": repr(exc)})
+        response = web.Response(status=status, text=message)
+        response.force_close()
+        return response
 
 
 class CallerProtocolServer(web.Server):
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -169,6 +169,15 @@
         self.outcome.elapsed = self._clock.now() - self._started_at
         return response
 
+    @property
+    def awaits_continue(self) -> bool:
+        """Whether the caller waits for a word of the daemon before it sends the body."""
+        return self._expects_continue and self._body is None
+
+    @property
+    def _expects_continue(self) -> bool:
+        return self._request.headers.get("Expect", "").lower() == "100-continue"
+
     def end(self) -> None:
         """Respond at once, as at the deadline, if the request has been received."""
         if self._timeout is not None and not self._timeout.expired():
@@ -231,7 +240,7 @@
         if reserved is None:
             raise RequestError(ErrorReason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
         self._reserved = reserved
-        if self._request.headers.get("Expect", "").lower() == "100-continue":
+        if self._expects_continue:
             self._request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._body = RequestBody(self._request, limit, self._dependencies.body_idle_timeout)
         await self._body.buffer_if_small()
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -65,7 +65,6 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            lingering_time=1.0,
             # Bodies are forwarded as they come, and would take many times their size when decoded.
             auto_decompress=False,
         )
@@ -121,7 +120,7 @@
             await asyncio.sleep(0)
         idle = [item for item in self._server.connections if item not in self._exchanges]
         for connection in idle:
-            connection.close_for("idle at a stop")
+            connection.close_idle("idle at a stop")
         log.info(
             "idle connections closed",
             extra={"closed": len(idle), "busy": len(self._exchanges)},
@@ -144,6 +143,10 @@
             if not self._exchanges:
                 self._all_idle.set()
         self._record_outcome(exchange.outcome)
+        if exchange.awaits_continue:
+            # The caller doesn't send the body, and what it sends next would be taken for it.
+            connection.expect_no_body()
+            response.force_close()
         if self._is_draining:
             response.force_close()
         await self._write(request, response)
