Let a stop know which connections owe a response

Across SIGTERM callers lost pipelined requests (10 of 30 answered), and requests whose heads arrived in two parts, or whose response was still being written; a keepalive timer of 75 s cut heads as well.

Cause: the daemon took a connection for busy only while a handler ran, and each place that closes one decided by itself. CallerProtocol.is_idle is the one rule now: no request read or queued, no part of a head or a body, nothing unsent, nothing unread in the kernel. The stop closes each connection once it is idle and waits for the others. Connection: close goes onto the response to the last request that was read. At the end of the grace each request gets an answer, also those whose bodies or heads are still arriving (408, 503: not run), and the stop ends in time. The keepalive timeout follows the operator's IdleTimeout above 60 s.

--- a/src/fuchsiatrack/gateway/callerconnection.py
+++ b/src/fuchsiatrack/gateway/callerconnection.py
@@ -20,3 +20,13 @@
     poll = select.poll()
     poll.register(raw_socket.fileno(), select.POLLRDHUP)
     return any(events & (select.POLLRDHUP | select.POLLHUP) for _, events in poll.poll(0))
+
+
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Return whether something has arrived that the event loop hasn't read."""
+    raw_socket = transport.get_extra_info("socket")
+    if raw_socket is None or raw_socket.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(raw_socket.fileno(), select.POLLIN)
+    return any(events & select.POLLIN for _, events in poll.poll(0))
--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 from aiohttp import StreamReader, web
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
+from fuchsiatrack.gateway.callerconnection import has_unread
 from fuchsiatrack.gateway.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
@@ -46,6 +48,24 @@
         """How many requests have been read without a complete response."""
         return len(self._messages) + self._request_in_progress
 
+    @property
+    def has_next(self) -> bool:
+        """Whether a request has been read, or a part of its head, behind the current one."""
+        return bool(self._messages or self._head_size)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether neither a request, nor a part of one, nor a response is under way."""
+        return not (
+            self.has_next
+            or self._request_in_progress
+            or self._is_reading_body
+            or self.transport is None
+            or self.transport.is_closing()
+            or self.transport.get_write_buffer_size()
+            or has_unread(self.transport)
+        )
+
     @property
     def _is_reading_body(self) -> bool:
         return self._body is not None and not self._body.is_eof()
@@ -59,10 +79,21 @@
         self.transport.close_at_once()
         self.force_close()
 
+    def abort(self, reason: str) -> None:
+        """Reset the connection; *reason* is for logs."""
+        self._closed_for = reason
+        if self.transport is not None:
+            self.transport.abort()
+
     def expect_no_body(self) -> None:
         """Close the connection after the response, without waiting for the request's body."""
         self._lingering_time = 0.0
 
+    def reject_partial_head(self) -> None:
+        """Respond to a request whose head hasn't arrived, as not run, and take no other."""
+        if self._head_size and self._takes_requests:
+            self._reject(408, "head of a request incomplete")
+
     # asyncio protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -107,6 +138,16 @@
 
     # aiohttp's hooks
 
+    def _process_keepalive(self) -> None:
+        if self.transport is None or self._waiter is None or self.is_idle:
+            super()._process_keepalive()
+            return
+        # A request is arriving.
+        self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
+        self._keepalive_handle = self._loop.call_at(
+            self._next_keepalive_close_time, self._process_keepalive
+        )
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -123,7 +164,20 @@
 
 
 class CallerProtocolServer(web.Server):
-    """Creates the protocols of callers' connections."""
+    """Creates the protocols of callers' connections.
+
+    *keepalive_timeout* returns for how long a connection may be idle, in seconds.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        keepalive_timeout: Callable[[], float],
+        **options: object,
+    ) -> None:
+        super().__init__(handler, **options)
+        self._read_keepalive_timeout = keepalive_timeout
 
     def __call__(self) -> CallerProtocol:
-        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+        timeout = self._read_keepalive_timeout()
+        return CallerProtocol(self, loop=self._loop, keepalive_timeout=timeout, **self._kwargs)
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -149,6 +149,7 @@
         self._retry_permit: RetryPermit | None = None
         self._failed_response: web.Response | None = None
         self._timeout: asyncio.Timeout | None = None
+        self._is_stopping = False
         self._service: RoutedService | None = None
         self._body: RequestBody | None = None
         # Bytes of the request memory.
@@ -158,7 +159,7 @@
     async def run(self) -> web.Response:
         """Return the response of a server, or an error response."""
         try:
-            response = await self._serve()
+            response = await self._serve_in_time()
         except RequestError as request_error:
             # An error response of a server is more specific than one of the daemon.
             response = self._failed_response or self._error_response(request_error)
@@ -179,10 +180,22 @@
         return self._request.headers.get("Expect", "").lower() == "100-continue"
 
     def end(self) -> None:
-        """Respond at once, as at the deadline, if the request has been received."""
+        """Respond at once, as the daemon stops."""
+        self._is_stopping = True
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    async def _serve_in_time(self) -> web.Response:
+        """Serve the request until its deadline or `end`; raise RequestError then."""
+        try:
+            async with asyncio.timeout(0 if self._is_stopping else None) as self._timeout:
+                return await self._serve()
+        except TimeoutError:
+            reason = ErrorReason.STOPPING if self._is_stopping else ErrorReason.DEADLINE
+            verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+            retry_after_ms = RETRY_AFTER_MS if self._is_stopping else 0
+            raise RequestError(reason, verdict, retry_after_ms) from None
+
     async def _serve(self) -> web.Response:
         request_metadata = self._parse_request()
         table = self._dependencies.table()
@@ -207,12 +220,10 @@
         if self._service.keyed and request_metadata.key is not None:
             self._dependencies.record_key(service, request_metadata.key)
         await self._read_body(table.limits.max_body)
-        try:
-            async with asyncio.timeout(max(self._time_left, 0) / 1_000) as self._timeout:
-                return await self._send_with_retries(route, service, request_metadata)
-        except TimeoutError:
-            verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
-            raise RequestError(ErrorReason.DEADLINE, verdict) from None
+        if not self._is_stopping:
+            loop = asyncio.get_running_loop()
+            self._timeout.reschedule(loop.time() + max(self._time_left, 0) / 1_000)
+        return await self._send_with_retries(route, service, request_metadata)
 
     @property
     def _time_left(self) -> int:
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -8,7 +8,11 @@
 
 from aiohttp import web
 
-from fuchsiatrack.gateway.callerprotocol import MAX_HEAD_BYTES, CallerProtocolServer
+from fuchsiatrack.gateway.callerprotocol import (
+    MAX_HEAD_BYTES,
+    CallerProtocol,
+    CallerProtocolServer,
+)
 from fuchsiatrack.gateway.forwarder import Exchange, ExchangeDependencies, Outcome
 from fuchsiatrack.gateway.listeningsocket import ListeningSocket
 from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
@@ -17,11 +21,15 @@
 
 # Longer than callers keep idle connections, so that callers close them first.
 KEEPALIVE_TIMEOUT_S = 75.0
+# The same where the operator allows callers to keep them for longer.
+KEEPALIVE_RATIO = 1.25
 # At a stop, connections stay open for this long after the listener is closed: one that was accepted
 # just before has its first request still under way.
 QUIET_PERIOD_MS = 300
 # Longest wait until requests that are ended have been answered.
 END_TIMEOUT_MS = 100
+# How often a stop looks for connections that have become idle.
+IDLE_CHECK_INTERVAL_MS = 20
 
 log = logging.getLogger(__name__)
 
@@ -49,28 +57,32 @@
         self._dependencies = dependencies
         self._metrics = metrics
         self._is_draining = False
-        self._all_idle = asyncio.Event()
-        self._all_idle.set()
+        self._has_ended = False
+        self._server: CallerProtocolServer | None = None
         self._socket: ListeningSocket | None = None
-        self._server: web.Server | None = None
         # The requests in flight, by connection.
-        self._exchanges: dict[web.RequestHandler, Exchange] = {}
+        self._exchanges: dict[CallerProtocol, Exchange] = {}
 
     async def start(self, endpoint: Endpoint) -> None:
         """Listen at *endpoint*."""
         self._server = CallerProtocolServer(
             self._handle,
+            self._keepalive_timeout_s,
             handler_cancellation=True,
             access_log=None,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             # Bodies are forwarded as they come, and would take many times their size when decoded.
             auto_decompress=False,
         )
         self._socket = ListeningSocket(self._server)
         await self._socket.open(endpoint)
 
+    def _keepalive_timeout_s(self) -> float:
+        table = self._dependencies.table()
+        allowed_ms = table.limits.idle_timeout if table is not None else 0
+        return max(KEEPALIVE_TIMEOUT_S, KEEPALIVE_RATIO * allowed_ms / 1_000)
+
     @property
     def in_flight(self) -> int:
         """How many requests are in flight."""
@@ -82,56 +94,64 @@
         return len(self._server.connections) if self._server else 0
 
     def start_draining(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the response to the last request that it has sent."""
         self._is_draining = True
 
     async def stop(self, timeout: int) -> None:
-        """Stop accepting connections, wait up to *timeout* ms for requests, and close.
+        """Stop accepting connections, wait up to *timeout* ms for each to end, and close.
 
         Requests that are still in flight then are answered by the daemon.
         """
+        self._is_draining = True
         await self._socket.close()
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout / 1_000):
                 await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
-                await self._close_idle()
-                await self._all_idle.wait()
-        except TimeoutError:
-            await self._end_requests()
-        # Responses that were just written may not have been sent yet.
-        await asyncio.sleep(0.05)
-        # Requests have been awaited, so that this waits for none.
-        await self._server.shutdown()
+                await self._close_as_they_become_idle()
+        await self._end_requests()
+        for connection in tuple(self._server.connections):
+            connection.abort("end of the grace period")
+        # Lets the event loop report their ends.
+        await asyncio.sleep(0)
+
+    async def _close_as_they_become_idle(self) -> None:
+        """Close idle connections until none is left.
+
+        A request that arrives on one now might not finish in time.
+        """
+        while connections := tuple(self._server.connections):
+            idle = [item for item in connections if item.is_idle]
+            for connection in idle:
+                connection.close_idle("idle at a stop")
+            if idle:
+                fields = {"closed": len(idle), "busy": len(connections) - len(idle)}
+                log.info("idle connections closed", extra=fields)
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_MS / 1_000)
 
     async def _end_requests(self) -> None:
-        """Answer the requests in flight: as not run if they have not been sent."""
-        log.warning("requests ended after the grace period", extra={"in_flight": self.in_flight})
+        """Answer what has arrived of requests: as not run if they have not been sent."""
+        self._has_ended = True
+        if not self.connection_count:
+            return
+        log.warning(
+            "requests ended after the grace period",
+            extra={"in_flight": self.in_flight, "connections": self.connection_count},
+        )
         for exchange in tuple(self._exchanges.values()):
             exchange.end()
+        for connection in tuple(self._server.connections):
+            connection.reject_partial_head()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(END_TIMEOUT_MS / 1_000):
-                await self._all_idle.wait()
-
-    async def _close_idle(self) -> None:
-        """Close idle connections; a request arriving on one now might not finish in time."""
-        # The first pause lets the event loop read what has arrived, the second one lets the
-        # handlers of requests in it begin.
-        for _ in range(2):
-            await asyncio.sleep(0)
-        idle = [item for item in self._server.connections if item not in self._exchanges]
-        for connection in idle:
-            connection.close_idle("idle at a stop")
-        log.info(
-            "idle connections closed",
-            extra={"closed": len(idle), "busy": len(self._exchanges)},
-        )
+                await self._close_as_they_become_idle()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         if connection.transport is None:
             raise ConnectionResetError("connection closed before the request was handled")
         exchange = self._exchanges[connection] = Exchange(request, self._dependencies)
-        self._all_idle.clear()
+        if self._has_ended:
+            exchange.end()
         try:
             response = await exchange.run()
         except asyncio.CancelledError:
@@ -140,14 +160,12 @@
             raise
         finally:
             self._exchanges.pop(connection, None)
-            if not self._exchanges:
-                self._all_idle.set()
         self._record_outcome(exchange.outcome)
         if exchange.awaits_continue:
             # The caller doesn't send the body, and what it sends next would be taken for it.
             connection.expect_no_body()
             response.force_close()
-        if self._is_draining:
+        if self._is_draining and not connection.has_next:
             response.force_close()
         await self._write(request, response)
         return response
--- a/src/fuchsiatrack/routing/errors.py
+++ b/src/fuchsiatrack/routing/errors.py
@@ -38,6 +38,8 @@
     # The order's id was used before.
     REPEATED_ORDER = ("repeated-order", 409)
     DEADLINE = ("deadline", 504)
+    # The daemon stops, and the request can't end before that.
+    STOPPING = ("stopping", 503)
     # The key was reassigned during the send, or the server rejected the request as not its own.
     MOVED = ("moved", 503)
     # Another server responded at the address.
@@ -96,7 +98,7 @@
         408, 429 and 503 guarantee that the request never ran; 502 and 504 guarantee nothing.
         """
         if self.verdict is not Verdict.NOT_RUN:
-            return 504 if self.reason is ErrorReason.DEADLINE else 502
+            return 504 if self.reason in TIMEOUT_REASONS else 502
         return 503 if self.reason.default_status >= 500 else self.reason.default_status
 
     def to_response(self, request_id: str) -> web.Response:
@@ -110,3 +112,7 @@
             "request_id": request_id,
         }
         return web.json_response(body, status=self.reason.default_status, headers=headers)
+
+
+# Reasons for which a request ends before a server has responded.
+TIMEOUT_REASONS = frozenset((ErrorReason.DEADLINE, ErrorReason.STOPPING))
