Share the end of callers' connections with fuchsiatrackd, and bound it

The same cause was looked for elsewhere: fuchsiatrackd closed its listener, its idle connections and those with an unread body in the same way.

The package callers now holds what both daemons use: ListeningSocket, OrderlyTransport, CallerProtocol and CallerConnections, which alone closes the listener, closes connections as they become idle and ends the rest. CallerListener and CallerServer only answer requests.

A connection that ends with requests unanswered is logged with their ids.

--- /dev/null
+++ b/src/fuchsiatrack/callers/connections.py
@@ -0,0 +1,112 @@
+"""The listener for callers, and the end of their connections at a stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+
+from aiohttp import web
+
+from fuchsiatrack.callers.listeningsocket import ListeningSocket
+from fuchsiatrack.callers.protocol import CallerProtocolServer
+
+# At a stop, connections stay open for this long after the listener is closed: one that was accepted
+# just before has its first request still under way.
+QUIET_PERIOD_MS = 300
+# Longest wait until requests that are ended have been answered.
+END_TIMEOUT_MS = 100
+# How often a stop looks for connections that have become idle.
+IDLE_CHECK_INTERVAL_MS = 20
+
+log = logging.getLogger(__name__)
+
+
+class CallerConnections:
+    """Accepts connections of callers, and ends them without losing a request that was read.
+
+    *handler* responds to a request, *keepalive_timeout* returns for how long a new connection may
+    be idle, in seconds, and *request_id* the id in the headers of a request, for logs.  *options*
+    are those of aiohttp's server.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        keepalive_timeout: Callable[[], float],
+        request_id: Callable[[Mapping[str, str]], str],
+        **options: object,
+    ) -> None:
+        self._server = CallerProtocolServer(
+            handler,
+            keepalive_timeout,
+            request_id,
+            handler_cancellation=True,
+            access_log=None,
+            **options,
+        )
+        self._socket = ListeningSocket(self._server)
+        self._is_draining = False
+
+    @property
+    def count(self) -> int:
+        """How many connections are open."""
+        return len(self._server.connections)
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen at *host* and *port*.
+
+        Raises OSError.
+        """
+        await self._socket.open(host, port)
+
+    def start_draining(self) -> None:
+        """Let each connection end with the response to the last request that was read on it."""
+        self._is_draining = True
+
+    def prepare_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Let *response* end its connection if the daemon drains and no request is behind it."""
+        if self._is_draining and not request.protocol.has_next:
+            response.force_close()
+
+    async def close(self, timeout: int, end_requests: Callable[[], None]) -> None:
+        """Stop accepting connections, and wait up to *timeout* milliseconds for each to end.
+
+        Then call *end_requests*, which has the requests in flight answered, and end the others.
+        """
+        self._is_draining = True
+        await self._socket.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout / 1_000):
+                await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
+                await self._close_as_they_become_idle()
+        if self.count:
+            await self._end(end_requests)
+
+    async def _close_as_they_become_idle(self) -> None:
+        """Close idle connections until none is left.
+
+        A request that arrives on one now might not finish in time.
+        """
+        while connections := tuple(self._server.connections):
+            idle = [item for item in connections if item.is_idle]
+            for connection in idle:
+                connection.close_idle("idle at a stop")
+            if idle:
+                fields = {"closed": len(idle), "busy": len(connections) - len(idle)}
+                log.info("idle connections closed", extra=fields)
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_MS / 1_000)
+
+    async def _end(self, end_requests: Callable[[], None]) -> None:
+        log.warning("requests ended after the grace period", extra={"connections": self.count})
+        end_requests()
+        for connection in tuple(self._server.connections):
+            connection.reject_partial_head()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_TIMEOUT_MS / 1_000):
+                await self._close_as_they_become_idle()
+        for connection in tuple(self._server.connections):
+            connection.abort("end of the grace period")
+        # Lets the event loop report their ends.
+        await asyncio.sleep(0)
--- a/src/fuchsiatrack/gateway/listeningsocket.py
+++ b/src/fuchsiatrack/callers/listeningsocket.py
@@ -10,8 +10,6 @@
 import struct
 from collections.abc import Callable, Iterator
 
-from fuchsiatrack.gateway.settings import Endpoint
-
 BACKLOG_CONNECTIONS = 1_024
 # Longest round trip to a caller whose connection is being opened when the listener closes.
 HANDSHAKE_MAX_MS = 100
@@ -28,21 +26,19 @@
 
 
 class ListeningSocket:
-    """Accepts connections at an endpoint, each with a new protocol of *protocol_factory*."""
+    """Accepts connections, each with a new protocol of *protocol_factory*."""
 
     def __init__(self, protocol_factory: Callable[[], asyncio.Protocol]) -> None:
         self._protocol_factory = protocol_factory
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
 
-    async def open(self, endpoint: Endpoint) -> None:
-        """Listen at *endpoint*.
+    async def open(self, host: str, port: int) -> None:
+        """Listen at *host* and *port*.
 
         Raises OSError.
         """
-        self._socket = socket.create_server(
-            (endpoint.host, endpoint.port), backlog=BACKLOG_CONNECTIONS
-        )
+        self._socket = socket.create_server((host, port), backlog=BACKLOG_CONNECTIONS)
         self._server = await asyncio.get_running_loop().create_server(
             self._protocol_factory, sock=self._socket, backlog=BACKLOG_CONNECTIONS
         )
--- a/src/fuchsiatrack/gateway/orderlyclose.py
+++ b/src/fuchsiatrack/callers/orderlyclose.py
@@ -8,9 +8,11 @@
 
 # The connection is closed once its caller has sent nothing for so long after the end of the
 # daemon's side.
-SILENCE_MAX_MS = 500
+SILENCE_MAX_MS = 2_000
 # Longest time for which a caller that goes on sending keeps a connection that has ended.
 DISCARD_MAX_MS = 30_000
+# Most bytes that are discarded after the end of the daemon's side.
+DISCARD_MAX_BYTES = 2**20
 
 log = logging.getLogger(__name__)
 
@@ -60,7 +62,8 @@
         self._protocol = protocol
         self._loop = asyncio.get_running_loop()
         self._close_at = self._loop.time() + DISCARD_MAX_MS / 1_000
-        self._has_received = False
+        self._received = 0
+        self._received_before = 0
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -73,7 +76,9 @@
         self._schedule_check()
 
     def data_received(self, data: bytes) -> None:
-        self._has_received = True
+        self._received += len(data)
+        if self._received > DISCARD_MAX_BYTES:
+            self._abort("caller goes on sending")
 
     def pause_writing(self) -> None:
         self._protocol.pause_writing()
@@ -92,10 +97,14 @@
     def _check(self) -> None:
         has_unsent = self._transport.get_write_buffer_size() > 0
         if self._loop.time() >= self._close_at:
-            log.warning("connection aborted", extra={"unsent": has_unsent})
-            self._transport.abort()
-        elif has_unsent or self._has_received:
-            self._has_received = False
+            self._abort("caller holds the connection")
+        elif has_unsent or self._received > self._received_before:
+            self._received_before = self._received
             self._schedule_check()
         else:
             self._transport.close()
+
+    def _abort(self, reason: str) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        log.warning("connection aborted", extra={"why": reason, "unsent": unsent})
+        self._transport.abort()
--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import StreamReader, web
+from aiohttp.http import HttpVersion11
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
-from fuchsiatrack.gateway.callerconnection import has_unread
-from fuchsiatrack.gateway.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
+from fuchsiatrack.callers.kernelstate import has_unread
+from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
@@ -28,13 +29,31 @@
 
     It is closed once the head of a request is too large: aiohttp bounds each field and their
     number, but not their sum.  A connection that ends with a request unanswered is logged, with the
-    side that ended it.
+    side that ended it and the ids of its requests, which *request_id* reads from their headers.
     """
 
-    __slots__ = ("_head_size", "_body", "_closed_for", "_takes_requests")
+    __slots__ = (
+        "_head_size",
+        "_body",
+        "_closed_for",
+        "_takes_requests",
+        "_read_request_id",
+        "_requests_at_timeout",
+        "_caller_transport",
+    )
 
-    def __init__(self, *arguments: object, **options: object) -> None:
+    def __init__(
+        self,
+        *arguments: object,
+        request_id: Callable[[Mapping[str, str]], str],
+        **options: object,
+    ) -> None:
         super().__init__(*arguments, lingering_time=DISCARD_MAX_MS / 1_000, **options)
+        self._read_request_id = request_id
+        # Outlives `transport`, which aiohttp drops when it closes the connection.
+        self._caller_transport: OrderlyTransport | None = None
+        # How many requests had been read when the keepalive timeout ended last.
+        self._requests_at_timeout = -1
         # What has arrived of the head that isn't complete.
         self._head_size = 0
         # The body of the latest request.
@@ -44,9 +63,12 @@
         self._takes_requests = True
 
     @property
-    def unanswered(self) -> int:
-        """How many requests have been read without a complete response."""
-        return len(self._messages) + self._request_in_progress
+    def unanswered(self) -> list[str]:
+        """The ids of the requests that have been read without a complete response."""
+        headers = [message.headers for message, _ in self._messages if hasattr(message, "headers")]
+        if self._current_request is not None:
+            headers.insert(0, self._current_request.headers)
+        return [self._read_request_id(item) for item in headers]
 
     @property
     def has_next(self) -> bool:
@@ -82,8 +104,12 @@
     def abort(self, reason: str) -> None:
         """Reset the connection; *reason* is for logs."""
         self._closed_for = reason
-        if self.transport is not None:
-            self.transport.abort()
+        if self._caller_transport is None:
+            return
+        unsent = self._caller_transport.get_write_buffer_size()
+        if unsent:
+            log.warning("response not sent in full", extra={"why": reason, "bytes": unsent})
+        self._caller_transport.abort()
 
     def expect_no_body(self) -> None:
         """Close the connection after the response, without waiting for the request's body."""
@@ -97,18 +123,20 @@
     # asyncio protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(OrderlyTransport(transport, self))
+        self._caller_transport = OrderlyTransport(transport, self)
+        super().connection_made(self._caller_transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        if self.unanswered or self._head_size:
+        if self._messages or self._current_request is not None or self._head_size:
+            is_closed_here = bool(self._closed_for) or self._force_close or self._close
             fields = {
-                "closed_by": "daemon" if self._force_close or self._close else "caller",
+                "closed_by": "daemon" if is_closed_here else "caller",
                 "why": self._closed_for or repr(exc),
-                "requests": self.unanswered,
-                "in_handler": self._request_in_progress,
+                "request_ids": self.unanswered,
                 "head_bytes": self._head_size,
             }
             log.info("connection ended with a request unanswered", extra=fields)
+        self._caller_transport = None
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -139,10 +167,18 @@
     # aiohttp's hooks
 
     def _process_keepalive(self) -> None:
-        if self.transport is None or self._waiter is None or self.is_idle:
+        is_waiting = self.transport is not None and self._waiter is not None
+        if not is_waiting or self._loop.time() < self._next_keepalive_close_time:
             super()._process_keepalive()
             return
+        self._keepalive_handle = None
+        if self.is_idle:
+            self.close_idle("keepalive timeout")
+            return
+        if self._requests_at_timeout == self._request_count:
+            self.reject_partial_head()
         # A request is arriving.
+        self._requests_at_timeout = self._request_count
         self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
         self._keepalive_handle = self._loop.call_at(
             self._next_keepalive_close_time, self._process_keepalive
@@ -158,6 +194,8 @@
         if status >= 500:
             return super().handle_error(request, status, exc, message)
         log.info("request rejected", extra={"status": status, "why": repr(exc)})
+        # aiohttp takes a request that it could not parse for one of HTTP/1.0.
+        request._version = HttpVersion11
         response = web.Response(status=status, text=message)
         response.force_close()
         return response
@@ -166,16 +204,18 @@
 class CallerProtocolServer(web.Server):
     """Creates the protocols of callers' connections.
 
-    *keepalive_timeout* returns for how long a connection may be idle, in seconds.
+    *keepalive_timeout* returns for how long a connection may be idle, in seconds, and *request_id*
+    the id in the headers of a request.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         keepalive_timeout: Callable[[], float],
+        request_id: Callable[[Mapping[str, str]], str],
         **options: object,
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler, request_id=request_id, **options)
         self._read_keepalive_timeout = keepalive_timeout
 
     def __call__(self) -> CallerProtocol:
--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -136,12 +136,11 @@
             loop.add_signal_handler(signal_number, self._stop.set)
         self._start_configuration_control()
         peer_server = await self._start_peer_server()
-        runners = await self._start_listeners()
+        operator_runner = await self._start_listeners()
         log.info("started", extra={"incarnation": self.context.local_daemon.incarnation})
         await self._stop.wait()
-        await self._drain(runners[0])
-        for runner in runners:
-            await runner.cleanup()
+        await self._drain()
+        await operator_runner.cleanup()
         peer_server.close()
         await self._close()
         log.info("stopped")
@@ -212,21 +211,19 @@
         runtime = self.runtimes.get(service)
         return runtime.ownership if runtime else None
 
-    async def _start_listeners(self) -> list[web.BaseRunner]:
+    async def _start_listeners(self) -> web.BaseRunner:
+        """Listen for callers and operators; return the operators' runner."""
         listen = self._settings.listen
-        caller_runner = self.caller_server.build_runner()
-        operator_runner = web.AppRunner(OperatorServer(self).build_application(), access_log=None)
-        for runner, port in (
-            (caller_runner, listen.caller_port),
-            (operator_runner, listen.operator_port),
-        ):
-            await runner.setup()
-            await web.TCPSite(runner, listen.address, port, backlog=LISTEN_BACKLOG).start()
-        return [caller_runner, operator_runner]
+        await self.caller_server.open(listen.address, listen.caller_port)
+        runner = web.AppRunner(OperatorServer(self).build_application(), access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, listen.address, listen.operator_port, backlog=LISTEN_BACKLOG)
+        await site.start()
+        return runner
 
     # Stop
 
-    async def _drain(self, caller_runner: web.BaseRunner) -> None:
+    async def _drain(self) -> None:
         """Report not ready, resign the terms and finish the requests in flight.
 
         The load balancer stops sending requests once this daemon reports not ready.
@@ -235,14 +232,7 @@
         self.caller_server.start_draining()
         await self.context.clock.sleep(timings.leave_notice)
         await asyncio.gather(*(item.resign() for item in self._leaderships()))
-        for site in tuple(caller_runner.sites):
-            await site.stop()
-        if not await self.caller_server.wait_drained(timings.shutdown_grace):
-            log.warning(
-                "requests ended after the grace period",
-                extra={"count": self.caller_server.in_flight},
-            )
-            await self.caller_server.end_requests()
+        await self.caller_server.stop(timings.shutdown_grace)
         for runtime in self.runtimes.values():
             await runtime.orders.deduplicator.drain(ORDER_DRAIN_TIMEOUT_MS)
 
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from fuchsiatrack.callers.kernelstate import has_left
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
 from fuchsiatrack.gateway.admission import (
     AdmissionQueue,
@@ -19,7 +20,6 @@
     affordable_wait,
     initial_limit,
 )
-from fuchsiatrack.gateway.callerconnection import has_left
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
 from fuchsiatrack.gateway.requestmemory import RequestMemory
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -5,16 +5,14 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Mapping
 
 from aiohttp import web
 
-from fuchsiatrack.gateway.callerprotocol import (
-    MAX_HEAD_BYTES,
-    CallerProtocol,
-    CallerProtocolServer,
-)
+from fuchsiatrack.callers.connections import CallerConnections
+from fuchsiatrack.callers.protocol import MAX_HEAD_BYTES, CallerProtocol
 from fuchsiatrack.gateway.forwarder import Exchange, ExchangeDependencies, Outcome
-from fuchsiatrack.gateway.listeningsocket import ListeningSocket
+from fuchsiatrack.gateway.headers import BadRequest
 from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.settings import Endpoint
 from fuchsiatrack.kernel.metrics import Metrics
@@ -23,13 +21,6 @@
 KEEPALIVE_TIMEOUT_S = 75.0
 # The same where the operator allows callers to keep them for longer.
 KEEPALIVE_RATIO = 1.25
-# At a stop, connections stay open for this long after the listener is closed: one that was accepted
-# just before has its first request still under way.
-QUIET_PERIOD_MS = 300
-# Longest wait until requests that are ended have been answered.
-END_TIMEOUT_MS = 100
-# How often a stop looks for connections that have become idle.
-IDLE_CHECK_INTERVAL_MS = 20
 
 log = logging.getLogger(__name__)
 
@@ -56,27 +47,22 @@
         self._memory = memory
         self._dependencies = dependencies
         self._metrics = metrics
-        self._is_draining = False
         self._has_ended = False
-        self._server: CallerProtocolServer | None = None
-        self._socket: ListeningSocket | None = None
-        # The requests in flight, by connection.
-        self._exchanges: dict[CallerProtocol, Exchange] = {}
-
-    async def start(self, endpoint: Endpoint) -> None:
-        """Listen at *endpoint*."""
-        self._server = CallerProtocolServer(
+        self._connections = CallerConnections(
             self._handle,
             self._keepalive_timeout_s,
-            handler_cancellation=True,
-            access_log=None,
+            self._read_request_id,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             # Bodies are forwarded as they come, and would take many times their size when decoded.
             auto_decompress=False,
         )
-        self._socket = ListeningSocket(self._server)
-        await self._socket.open(endpoint)
+        # The requests in flight, by connection.
+        self._exchanges: dict[CallerProtocol, Exchange] = {}
+
+    async def start(self, endpoint: Endpoint) -> None:
+        """Listen at *endpoint*."""
+        await self._connections.open(endpoint.host, endpoint.port)
 
     def _keepalive_timeout_s(self) -> float:
         table = self._dependencies.table()
@@ -91,59 +77,30 @@
     @property
     def connection_count(self) -> int:
         """How many connections of callers are open."""
-        return len(self._server.connections) if self._server else 0
+        return self._connections.count
 
     def start_draining(self) -> None:
-        """Close each connection after the response to the last request that it has sent."""
-        self._is_draining = True
+        """Close each connection after the response to the last request that was read on it."""
+        self._connections.start_draining()
 
     async def stop(self, timeout: int) -> None:
         """Stop accepting connections, wait up to *timeout* ms for each to end, and close.
 
         Requests that are still in flight then are answered by the daemon.
         """
-        self._is_draining = True
-        await self._socket.close()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout / 1_000):
-                await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
-                await self._close_as_they_become_idle()
-        await self._end_requests()
-        for connection in tuple(self._server.connections):
-            connection.abort("end of the grace period")
-        # Lets the event loop report their ends.
-        await asyncio.sleep(0)
-
-    async def _close_as_they_become_idle(self) -> None:
-        """Close idle connections until none is left.
-
-        A request that arrives on one now might not finish in time.
-        """
-        while connections := tuple(self._server.connections):
-            idle = [item for item in connections if item.is_idle]
-            for connection in idle:
-                connection.close_idle("idle at a stop")
-            if idle:
-                fields = {"closed": len(idle), "busy": len(connections) - len(idle)}
-                log.info("idle connections closed", extra=fields)
-            await asyncio.sleep(IDLE_CHECK_INTERVAL_MS / 1_000)
-
-    async def _end_requests(self) -> None:
-        """Answer what has arrived of requests: as not run if they have not been sent."""
+        await self._connections.close(timeout, self._end_requests)
+
+    def _end_requests(self) -> None:
+        """Answer the requests in flight: as not run if they have not been sent."""
         self._has_ended = True
-        if not self.connection_count:
-            return
-        log.warning(
-            "requests ended after the grace period",
-            extra={"in_flight": self.in_flight, "connections": self.connection_count},
-        )
         for exchange in tuple(self._exchanges.values()):
             exchange.end()
-        for connection in tuple(self._server.connections):
-            connection.reject_partial_head()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(END_TIMEOUT_MS / 1_000):
-                await self._close_as_they_become_idle()
+
+    def _read_request_id(self, headers: Mapping[str, str]) -> str:
+        try:
+            return self._dependencies.header_codec.parse_request(headers).request_id
+        except BadRequest:
+            return ""
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
@@ -165,8 +122,7 @@
             # The caller doesn't send the body, and what it sends next would be taken for it.
             connection.expect_no_body()
             response.force_close()
-        if self._is_draining and not connection.has_next:
-            response.force_close()
+        self._connections.prepare_response(request, response)
         await self._write(request, response)
         return response
 
--- a/src/fuchsiatrack/routing/callerserver.py
+++ b/src/fuchsiatrack/routing/callerserver.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from fuchsiatrack.callers.connections import CallerConnections
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.settings import RequestSettings
@@ -17,11 +18,11 @@
 from fuchsiatrack.routing.admission import Admission, AdmittedRequest
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
 from fuchsiatrack.routing.exchange import Exchange, ExchangeDependencies
+from fuchsiatrack.routing.headers import ORDER
 from fuchsiatrack.routing.responses import TruncatedResponse
 
 READY_PATH = "/-/ready"
-# Longest wait until requests that are ended have been answered.
-END_TIMEOUT_MS = 200
+KEEPALIVE_TIMEOUT_S = 30.0
 
 log = logging.getLogger(__name__)
 
@@ -51,24 +52,24 @@
         self._metrics = metrics
         self._settings = settings
         self._draining = False
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._has_ended = False
+        self._connections = CallerConnections(
+            self._handle,
+            lambda: KEEPALIVE_TIMEOUT_S,
+            lambda headers: headers.get(ORDER, ""),
+            max_line_size=settings.max_header,
+            max_field_size=settings.max_header,
+        )
         # Each ends one exchange.
         self._timeouts: set[asyncio.Timeout] = set()
         self.in_flight = 0
 
-    def build_runner(self) -> web.ServerRunner:
-        """Return the runner of the listener."""
-        server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=self._settings.max_header,
-            max_field_size=self._settings.max_header,
-            keepalive_timeout=30.0,
-            lingering_time=2.0,
-        )
-        return web.ServerRunner(server)
+    async def open(self, host: str, port: int) -> None:
+        """Listen at *host* and *port*.
+
+        Raises OSError.
+        """
+        await self._connections.open(host, port)
 
     def start_draining(self) -> None:
         """Report not ready, so that the external load balancer sends no new requests.
@@ -76,38 +77,29 @@
         Requests that still arrive are served.
         """
         self._draining = True
+        self._connections.start_draining()
 
-    async def wait_drained(self, timeout: int) -> bool:
-        """Wait up to *timeout* milliseconds until no request is in flight.
+    async def stop(self, timeout: int) -> None:
+        """Stop accepting connections, wait up to *timeout* ms for each to end, and close.
 
-        Return False if some still are.
+        Requests that are still in flight then are answered: as not run if they have not been sent.
         """
-        try:
-            async with asyncio.timeout(timeout / 1_000):
-                await self._idle.wait()
-        except TimeoutError:
-            return False
-        return True
+        await self._connections.close(timeout, self._end_requests)
 
-    async def end_requests(self) -> None:
-        """Answer the requests in flight at once: as not run if they have not been sent."""
+    def _end_requests(self) -> None:
+        self._has_ended = True
         for timeout in self._timeouts:
             timeout.reschedule(asyncio.get_running_loop().time())
-        await self.wait_drained(END_TIMEOUT_MS)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == READY_PATH:
             return self._readiness_response()
         self.in_flight += 1
-        self._idle.clear()
         try:
             response = await self._serve(request)
         finally:
             self.in_flight -= 1
-            if not self.in_flight:
-                self._idle.set()
-        if self._draining:
-            response.force_close()
+        self._connections.prepare_response(request, response)
         return response
 
     def _readiness_response(self) -> web.Response:
@@ -147,7 +139,7 @@
     async def _run(self, exchange: Exchange) -> web.StreamResponse:
         """Run *exchange* until `end_requests` at most."""
         try:
-            async with asyncio.timeout(None) as timeout:
+            async with asyncio.timeout(0 if self._has_ended else None) as timeout:
                 self._timeouts.add(timeout)
                 return await exchange.run()
         except TimeoutError:
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -12,8 +12,8 @@
 import pytest
 from aiohttp import web
 
+from fuchsiatrack.callers.protocol import MAX_HEAD_BYTES
 from fuchsiatrack.control.compactedlog import Stream
-from fuchsiatrack.gateway.callerprotocol import MAX_HEAD_BYTES
 from fuchsiatrack.gateway.requestmemory import MAX_BUFFERED_BYTES
 from fuchsiatrack.gateway.responsememory import MAX_TOTAL_BYTES, ResponseMemory, body_limit
 from fuchsiatrack.kernel.errors import PlatformUnavailable
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 import pytest_asyncio
+import yarl
 
 from fuchsiatrack.model.objects import Caller, Limit, Service
 from fuchsiatrack.model.objectset import ObjectSet
@@ -273,3 +274,25 @@
         assert (response.status, response.reason) == (502, "connection")
         assert response.verdict == "may-have-run"
         assert exit_code == 0
+
+    async def test_requests_that_arrive_slowly_across_a_stop_are_answered(self, running):
+        """Guards against connections that close with a part of a request, or with pipelined ones.
+
+        The same fault was found in the daemon of the users' platform (LOST).
+        """
+        await running.add_daemon(5)
+        await running.wait_ready(5)
+        request = (
+            b"GET /poles/x HTTP/1.1\r\nHost: any\r\nAuthorization: Bearer token-of-crew\r\n"
+            b"Fuchsiatrack-Key: pole-1\r\nContent-Length: 0\r\n\r\n"
+        )
+        url = yarl.URL(running.caller_url(5))
+        reader, writer = await asyncio.open_connection(url.host, url.port)
+        writer.write(request[:40])
+        stop = asyncio.create_task(running.stop(running.daemon_name(5)))
+        await asyncio.sleep(1.5)
+        writer.write(request[40:] + request)
+        responses = await reader.read()
+        writer.close()
+        assert responses.count(b"HTTP/1.1 200") == 2
+        assert await stop == 0
