Send nothing during a stop that can't end before it

Callers whose requests waited at a stopping daemon got 504 "may have run": the daemon sent them late in the grace period and broke them off at its end. Those that were refused as not run learned it only then.

Cause: neither the queues nor the retries knew of the stop. While a daemon stops, a request is now sent only if its own deadline, or two mean service times of its server, end before the stop does: it may wait one at the server, as the limits allow, and run for another. StopDeadline decides; it is applied when a server is selected, when the stop begins and every 50 ms while the request waits (queue, limit, pause, retry), and right before it is sent. Requests that are too late are rejected as not run (503 stopping, Retry-After) and not retried. The mean is that of the responses alone, as service_time still contains the assumed 50 ms: after one response of 2.5 s it is 418 ms.

--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -28,6 +28,7 @@
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings, SettingsError
 from fuchsiatrack.gateway.sources import ConfigurationHolder, DirectoryUpdater
+from fuchsiatrack.gateway.stoppolicy import StopDeadline
 from fuchsiatrack.gateway.textmetrics import TextMetrics
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter
@@ -205,10 +206,11 @@
     async def _shut_down(self) -> None:
         log.info("daemon stopping", extra={"in_flight": self._listener.in_flight})
         started_at = self._clock.now()
-        self._listener.start_draining()
+        stop_deadline = StopDeadline(started_at + self._settings.stop_grace - STOP_MARGIN_MS)
+        self._listener.start_draining(stop_deadline)
         await self._range_service.resign()
         await self._clock.sleep_until(started_at + DRAIN_NOTICE_MS)
-        remaining = started_at + self._settings.stop_grace - STOP_MARGIN_MS - self._clock.now()
+        remaining = stop_deadline.ends_at - self._clock.now()
         await self._listener.stop(max(remaining, 0))
         # The log service may have recovered in the meantime.
         await self._range_service.resign()
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -33,6 +33,7 @@
 )
 from fuchsiatrack.gateway.serverselection import SelectionRequest, ServerSelector
 from fuchsiatrack.gateway.serverstats import ServerStats, ServerStatsRegistry
+from fuchsiatrack.gateway.stoppolicy import StopDeadline
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter, TrafficPurpose
@@ -150,6 +151,9 @@
         self._failed_response: web.Response | None = None
         self._timeout: asyncio.Timeout | None = None
         self._is_stopping = False
+        self._stop_deadline: StopDeadline | None = None
+        # The selected server, until the request is sent to it.
+        self._awaited_server: ServerEntry | None = None
         self._service: RoutedService | None = None
         self._body: RequestBody | None = None
         # Bytes of the request memory.
@@ -185,6 +189,16 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    def start_stopping(self, stop_deadline: StopDeadline) -> None:
+        """Send the request from now on only if it can be expected to end in time."""
+        self._stop_deadline = stop_deadline
+        self.end_if_too_late()
+
+    def end_if_too_late(self) -> None:
+        """Respond at once if the request waits for a server and can't end before the stop."""
+        if self._awaited_server is not None and not self._can_end(self._awaited_server):
+            self.end()
+
     async def _serve_in_time(self) -> web.Response:
         """Serve the request until its deadline or `end`; raise RequestError then."""
         try:
@@ -274,9 +288,11 @@
                 self._wait_for_limits()
                 continue
             self.outcome.server = entry.id
+            self._awaited_server = entry
             try:
                 return await self._send(entry, route, request_metadata, selection_request)
             except RequestError as request_error:
+                self._awaited_server = None
                 await self._prepare_retry(request_error, route, entry)
                 if request_error.reason is ErrorReason.MOVED:
                     await selector.wait_for_change(selection_request, OWNERSHIP_CHANGE_WAIT_MS)
@@ -376,6 +392,7 @@
         queue = self._queue(entry)
         connection_share = self._connection_share()
         sends_before = self.outcome.sends
+        self._check_stop(entry)
         turn = await self._acquire_turn(entry, route, stats)
         try:
             await queue.acquire(self._queued_request(route), connection_share, stats.service_time)
@@ -446,6 +463,21 @@
         pause = self._dependencies.backoff.remaining(entry.incarnation, self._clock.now())
         if pause:
             raise self._backoff_error(pause, stats)
+        self._check_stop(entry)
+
+    def _check_stop(self, entry: ServerEntry) -> None:
+        """Raise RequestError if the daemon stops before the server of *entry* would respond."""
+        if self._is_stopping or not self._can_end(entry):
+            raise RequestError(ErrorReason.STOPPING, retry_after_ms=RETRY_AFTER_MS)
+
+    def _can_end(self, entry: ServerEntry) -> bool:
+        if self._stop_deadline is None:
+            return True
+        stats = self._dependencies.stats.get(entry.id, entry.slots)
+        service_time = stats.observed_service_time
+        if service_time is None:
+            service_time = stats.service_time
+        return self._stop_deadline.leaves_time_for(self._deadline, self._clock.now(), service_time)
 
     def _check_caller(self) -> None:
         """Raise RequestError if the caller has left while a large body of its request waited."""
@@ -500,6 +532,7 @@
             except RequestError:
                 dependencies.connections.release(entry.id, entry.address, connection)
                 raise
+            self._awaited_server = None
             self._record_send(entry)
             self._tried_servers.add(entry.id)
             with self._silence_timer(entry):
--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -17,6 +17,7 @@
 from fuchsiatrack.gateway.listeningsocket import ListeningSocket
 from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.settings import Endpoint
+from fuchsiatrack.gateway.stoppolicy import StopDeadline
 from fuchsiatrack.kernel.metrics import Metrics
 
 # Longer than callers keep idle connections, so that callers close them first.
@@ -30,6 +31,8 @@
 END_TIMEOUT_MS = 100
 # How often a stop looks for connections that have become idle.
 IDLE_CHECK_INTERVAL_MS = 20
+# How often a stop looks for waiting requests that can't end before it.
+LATE_CHECK_INTERVAL_MS = 50
 
 log = logging.getLogger(__name__)
 
@@ -58,6 +61,8 @@
         self._metrics = metrics
         self._is_draining = False
         self._has_ended = False
+        self._stop_deadline: StopDeadline | None = None
+        self._late_check: asyncio.Task | None = None
         self._server: CallerProtocolServer | None = None
         self._socket: ListeningSocket | None = None
         # The requests in flight, by connection.
@@ -93,9 +98,26 @@
         """How many connections of callers are open."""
         return len(self._server.connections) if self._server else 0
 
-    def start_draining(self) -> None:
-        """Close each connection after the response to the last request that it has sent."""
+    def start_draining(self, stop_deadline: StopDeadline | None = None) -> None:
+        """Close each connection after the response to the last request that it has sent.
+
+        Requests that wait or arrive and can't end before *stop_deadline* are rejected.
+        """
         self._is_draining = True
+        if stop_deadline is None:
+            return
+        self._stop_deadline = stop_deadline
+        for exchange in tuple(self._exchanges.values()):
+            exchange.start_stopping(stop_deadline)
+        if self._late_check is None:
+            self._late_check = asyncio.create_task(self._end_late_requests())
+
+    async def _end_late_requests(self) -> None:
+        """End waiting requests as time passes and their servers' times become known."""
+        while True:
+            await asyncio.sleep(LATE_CHECK_INTERVAL_MS / 1_000)
+            for exchange in tuple(self._exchanges.values()):
+                exchange.end_if_too_late()
 
     async def stop(self, timeout: int) -> None:
         """Stop accepting connections, wait up to *timeout* ms for each to end, and close.
@@ -131,6 +153,8 @@
     async def _end_requests(self) -> None:
         """Answer what has arrived of requests: as not run if they have not been sent."""
         self._has_ended = True
+        if self._late_check is not None:
+            self._late_check.cancel()
         if not self.connection_count:
             return
         log.warning(
@@ -150,6 +174,8 @@
         if connection.transport is None:
             raise ConnectionResetError("connection closed before the request was handled")
         exchange = self._exchanges[connection] = Exchange(request, self._dependencies)
+        if self._stop_deadline is not None:
+            exchange.start_stopping(self._stop_deadline)
         if self._has_ended:
             exchange.end()
         try:
--- a/src/fuchsiatrack/gateway/retrypolicy.py
+++ b/src/fuchsiatrack/gateway/retrypolicy.py
@@ -17,6 +17,8 @@
 OTHER_SERVER_DELAY_MS = 4
 # Delay after the first failed connect to the only possible server; it doubles with each one.
 RECONNECT_DELAY_MS = 20
+# Reasons that hold for every server.
+FINAL_REASONS = frozenset((ErrorReason.RETRY_BUDGET, ErrorReason.CALLER_LEFT, ErrorReason.STOPPING))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,7 +54,7 @@
         return None
     if not failed_send.can_resend or failed_send.sends >= MAX_SENDS:
         return None
-    if failed_send.reason in (ErrorReason.RETRY_BUDGET, ErrorReason.CALLER_LEFT):
+    if failed_send.reason in FINAL_REASONS:
         return None
     if failed_send.failed_connects >= MAX_FAILED_CONNECTS:
         return None
--- a/src/fuchsiatrack/gateway/serverstats.py
+++ b/src/fuchsiatrack/gateway/serverstats.py
@@ -26,11 +26,17 @@
 
 @dataclasses.dataclass
 class ServerStats:
-    """Statistics of one server; times in milliseconds."""
+    """Statistics of one server; times in milliseconds.
+
+    `service_time` starts from an assumed value, which the first responses change slowly.
+    `observed_service_time` is the mean of the responses alone, None before the first one.
+    """
 
     slots: int
     in_flight: int = 0
     service_time: float = INITIAL_SERVICE_TIME_MS
+    observed_service_time: float | None = None
+    responses: int = 0
     average_failures: float = 0.0
     failures_updated_at: int = 0
     load: ReportedLoad | None = None
@@ -69,6 +75,7 @@
         waiting = self.load.waiting if self.load else 0
         service_time = elapsed / (1 + waiting / self.slots)
         self.service_time += SERVICE_TIME_SMOOTHING_FACTOR * (service_time - self.service_time)
+        self._observe(service_time)
         self.samples += 1
         self.total_time += service_time
 
@@ -97,6 +104,12 @@
         self.samples, self.total_time = 0, 0.0
         return samples, total / samples if samples else 0.0
 
+    def _observe(self, service_time: float) -> None:
+        self.responses += 1
+        mean = 0.0 if self.observed_service_time is None else self.observed_service_time
+        weight = max(SERVICE_TIME_SMOOTHING_FACTOR, 1 / self.responses)
+        self.observed_service_time = mean + weight * (service_time - mean)
+
     def _record_outcome(self, failed: bool, now: int) -> None:
         share = self.failure_share(now)
         self.average_failures = share + FAILURE_SMOOTHING_FACTOR * (float(failed) - share)
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import pathlib
@@ -333,3 +334,92 @@
         return connection.recv(65_536)[:12]
     except OSError:
         return b""
+
+
+SLOW_ORDERS = route("orders", "/orders/", "unsafe", "stock", Timeout="20000ms", MaxAttempts=1)
+# Several times what the servers can run before the end of the grace period.
+ORDERS = 48
+# From the first request to SIGTERM.
+STOP_AFTER_S = 0.4
+# From SIGTERM until less is left of the grace period than two requests take, one after the other,
+# and while the daemon still accepts connections.
+DRAIN_S = 1.5
+# A guard of the order of a round trip, far below the time of a request.
+AT_ONCE_S = 0.5
+
+
+@pytest.fixture
+async def slow_servers(tmp_path: pathlib.Path) -> AsyncIterator[ProcessEnvironment]:
+    """Yield a daemon with four servers whose requests take 2.5 s."""
+    servers = [(f"stock-{index}", "stock", 2_500.0) for index in range(4)]
+    async with run_daemon(tmp_path, [SLOW_ORDERS], servers) as running:
+        yield running
+
+
+async def _order(environment: ProcessEnvironment, request_id: str) -> int:
+    reader, writer = await environment.connect()
+    writer.write(request_head("/orders/", request_id, "POST", deadline_ms=20_000))
+    try:
+        return await read_status(reader)
+    finally:
+        writer.close()
+
+
+class TestWorkAcrossStop:
+    """A stopping daemon sends no request that can't be expected to end before it stops."""
+
+    @pytest.mark.parametrize("work_ms", [2_500.0, 3_500.0])
+    async def test_waiting_requests_are_served_or_rejected_as_not_run(
+        self, slow_servers: ProcessEnvironment, work_ms: float
+    ):
+        """Guards against requests that are sent late in the grace period and broken off."""
+        for server in slow_servers.servers.values():
+            server.work_ms = work_ms
+        names = [f"order-{index}" for index in range(ORDERS)]
+        calls = [asyncio.create_task(_order(slow_servers, name)) for name in names]
+        await asyncio.sleep(STOP_AFTER_S)
+        slow_servers.stop()
+        statuses = dict(zip(names, await asyncio.gather(*calls), strict=True))
+        assert await slow_servers.wait_stopped() == 0
+        counts = collections.Counter(statuses.values())
+        assert set(counts) == {200, 503}, counts
+        runs = collections.Counter(
+            run.request_id for server in slow_servers.servers.values() for run in server.runs
+        )
+        assert runs == {name: 1 for name, status in statuses.items() if status == 200}
+
+    async def test_requests_that_cannot_end_are_rejected_at_once(
+        self, slow_servers: ProcessEnvironment
+    ):
+        """Guards against callers that wait out the stop before they return elsewhere."""
+        loop = asyncio.get_running_loop()
+        # The daemon has seen how long a request takes at each server.
+        names = [f"known-{index}" for index in range(16)]
+        assert set(await asyncio.gather(*(_order(slow_servers, name) for name in names))) == {200}
+        waiting = [
+            asyncio.create_task(_order(slow_servers, f"waiting-{index}")) for index in range(ORDERS)
+        ]
+        await asyncio.sleep(STOP_AFTER_S)
+        slow_servers.stop()
+        # Too late for a request that waits for those in flight, and for a new one.
+        await asyncio.sleep(DRAIN_S)
+        sent = {run.request_id for server in slow_servers.servers.values() for run in server.runs}
+        started_s = loop.time()
+        assert await _order(slow_servers, "new") == 503
+        assert loop.time() - started_s < AT_ONCE_S
+        for index, task in enumerate(waiting):
+            assert task.done() or f"waiting-{index}" in sent
+        assert set(await asyncio.gather(*waiting)) == {200, 503}
+        assert not slow_servers.has_run("new")
+
+    async def test_request_whose_deadline_ends_before_the_stop_is_sent(
+        self, slow_servers: ProcessEnvironment
+    ):
+        """Guards against rejecting requests that the stop doesn't cut."""
+        assert await _order(slow_servers, "known") == 200
+        slow_servers.stop()
+        await asyncio.sleep(0.2)
+        reader, writer = await slow_servers.connect()
+        writer.write(request_head("/orders/", "short", "POST", deadline_ms=4_000))
+        assert await read_status(reader) == 200
+        writer.close()
