--- a/src/fuchsiatrack/gateway/listener.py
+++ b/src/fuchsiatrack/gateway/listener.py
@@ -15,12 +15,15 @@
 from fuchsiatrack.gateway.headers import BadRequest
 from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.settings import Endpoint
+from fuchsiatrack.gateway.stoppolicy import StopDeadline
 from fuchsiatrack.kernel.metrics import Metrics
 
 # Longer than callers keep idle connections, so that callers close them first.
 KEEPALIVE_TIMEOUT_S = 75.0
 # The same where the operator allows callers to keep them for longer.
 KEEPALIVE_RATIO = 1.25
+# How often a stop looks for waiting requests that can't end before it.
+LATE_CHECK_INTERVAL_MS = 50
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +51,8 @@
         self._dependencies = dependencies
         self._metrics = metrics
         self._has_ended = False
+        self._stop_deadline: StopDeadline | None = None
+        self._late_check: asyncio.Task | None = None
         self._connections = CallerConnections(
             self._handle,
             self._keepalive_timeout_s,
@@ -79,16 +84,37 @@
         """How many connections of callers are open."""
         return self._connections.count
 
-    def start_draining(self) -> None:
-        """Close each connection after the response to the last request that was read on it."""
+    def start_draining(self, stop_deadline: StopDeadline | None = None) -> None:
+        """Close each connection after the response to the last request that was read on it.
+
+        Requests that wait or arrive and can't end before *stop_deadline* are rejected.
+        """
         self._connections.start_draining()
+        if stop_deadline is None:
+            return
+        self._stop_deadline = stop_deadline
+        for exchange in tuple(self._exchanges.values()):
+            exchange.start_stopping(stop_deadline)
+        if self._late_check is None:
+            self._late_check = asyncio.create_task(self._end_late_requests())
+
+    async def _end_late_requests(self) -> None:
+        """End waiting requests as time passes and their servers' times become known."""
+        while True:
+            await asyncio.sleep(LATE_CHECK_INTERVAL_MS / 1_000)
+            for exchange in tuple(self._exchanges.values()):
+                exchange.end_if_too_late()
 
     async def stop(self, timeout: int) -> None:
         """Stop accepting connections, wait up to *timeout* ms for each to end, and close.
 
         Requests that are still in flight then are answered by the daemon.
         """
-        await self._connections.close(timeout, self._end_requests)
+        try:
+            await self._connections.close(timeout, self._end_requests)
+        finally:
+            if self._late_check is not None:
+                self._late_check.cancel()
 
     def _end_requests(self) -> None:
         """Answer the requests in flight: as not run if they have not been sent."""
@@ -107,6 +133,8 @@
         if connection.transport is None:
             raise ConnectionResetError("connection closed before the request was handled")
         exchange = self._exchanges[connection] = Exchange(request, self._dependencies)
+        if self._stop_deadline is not None:
+            exchange.start_stopping(self._stop_deadline)
         if self._has_ended:
             exchange.end()
         try:
