Keep a caller's connection at a stop until its responses are acknowledged

What callers saw: a caller with a small window whose response had been written, but was still on its way when the daemon closed idle connections 2.9 s after SIGTERM, lost the rest of it once it sent its next request: the kernel resets a closed connection on which data arrives, and drops what it has queued. The process could also exit with responses queued in the kernel, which the end of a machine or a container then drops.

Cause: a connection counted as idle, and its orderly close as done, once the process's own buffer was empty; the kernel takes several hundred KB at once.

Change: both ask the kernel for what hasn't been acknowledged (TIOCOUTQ).

--- a/src/fuchsiatrack/gateway/callerconnection.py
+++ b/src/fuchsiatrack/gateway/callerconnection.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
+import struct
+import termios
+
+_INT = struct.Struct("i")
 
 
 def has_left(transport: asyncio.BaseTransport | None) -> bool:
@@ -30,3 +35,14 @@
     poll = select.poll()
     poll.register(raw_socket.fileno(), select.POLLIN)
     return any(events & select.POLLIN for _, events in poll.poll(0))
+
+
+def has_unacknowledged(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the caller's machine hasn't acknowledged all that was written."""
+    if transport.get_write_buffer_size():
+        return True
+    raw_socket = transport.get_extra_info("socket")
+    if raw_socket is None or raw_socket.fileno() < 0:
+        return False
+    buffer = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    return _INT.unpack(buffer)[0] > 0
--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -10,7 +10,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
-from fuchsiatrack.gateway.callerconnection import has_unread
+from fuchsiatrack.gateway.callerconnection import has_unacknowledged, has_unread
 from fuchsiatrack.gateway.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
@@ -62,7 +62,7 @@
             or self._is_reading_body
             or self.transport is None
             or self.transport.is_closing()
-            or self.transport.get_write_buffer_size()
+            or has_unacknowledged(self.transport)
             or has_unread(self.transport)
         )
 
--- a/src/fuchsiatrack/gateway/orderlyclose.py
+++ b/src/fuchsiatrack/gateway/orderlyclose.py
@@ -6,6 +6,8 @@
 import contextlib
 import logging
 
+from fuchsiatrack.gateway.callerconnection import has_unacknowledged
+
 # The connection is closed once its caller has sent nothing for so long after the end of the
 # daemon's side.
 SILENCE_MAX_MS = 500
@@ -90,7 +92,7 @@
         self._timer = self._loop.call_later(SILENCE_MAX_MS / 1_000, self._check)
 
     def _check(self) -> None:
-        has_unsent = self._transport.get_write_buffer_size() > 0
+        has_unsent = has_unacknowledged(self._transport)
         if self._loop.time() >= self._close_at:
             log.warning("connection aborted", extra={"unsent": has_unsent})
             self._transport.abort()
--- a/src/fuchsiatrack_standins/soak/daemons.py
+++ b/src/fuchsiatrack_standins/soak/daemons.py
@@ -102,6 +102,11 @@
         """Base URL for callers."""
         return f"http://{self.host}:{self._ports['callers']}"
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has been started and hasn't ended."""
+        return self._process is not None and self._process.returncode is None
+
     async def start(self) -> None:
         """Start the process, with its output appended to a log file in the directory."""
         self.start_count += 1
@@ -119,7 +124,7 @@
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
-        if self._process is not None and self._process.returncode is None:
+        if self.is_running:
             if signal_number is not signal.SIGHUP:
                 self.disturbed_at_s.append(time.monotonic())
             self._process.send_signal(signal_number)
--- /dev/null
+++ b/tests/test_lost_links.py
@@ -0,0 +1,76 @@
+"""Requests of callers behind slow links across a stop: each gets its whole answer (LOST)."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp import web
+
+from tests.daemonprocess import ProcessEnvironment, read_status, request_head, run_daemon
+from tests.fleet import route
+
+READS = route("reads", "/reads/", "safe", "catalogue", Timeout="8000ms")
+RECEIVE_BUFFER_BYTES = 8_192
+# The kernel takes a response of this size at once, and the window of the caller doesn't.
+RESPONSE_BYTES = 500_000
+# From SIGTERM until the daemon closes idle connections.
+IDLE_CLOSE_S = 2.9
+
+
+@pytest.fixture
+async def environment(tmp_path: pathlib.Path) -> AsyncIterator[ProcessEnvironment]:
+    """Yield a daemon with one server whose responses are large."""
+
+    async def respond(request: web.BaseRequest, headers: dict[str, str]) -> web.Response:
+        return web.Response(headers=headers, body=bytes(RESPONSE_BYTES))
+
+    async with run_daemon(tmp_path, [READS], [("catalogue-0", "catalogue", 5.0)]) as running:
+        running.servers["catalogue-0"].response_handler = respond
+        yield running
+
+
+async def _connect_with_small_window(
+    environment: ProcessEnvironment,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    connection = socket.socket()
+    connection.setblocking(False)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, environment.daemon.callers_address)
+    return await asyncio.open_connection(sock=connection, limit=RECEIVE_BUFFER_BYTES)
+
+
+class TestSmallWindow:
+    """What a caller hasn't received yet isn't dropped by a stop."""
+
+    async def test_response_in_the_kernel_survives_a_request_after_it(
+        self, environment: ProcessEnvironment
+    ):
+        """Guards against a connection taken for idle whose response is still on its way."""
+        reader, writer = await _connect_with_small_window(environment)
+        writer.write(request_head("/reads/", "first"))
+        # The response has been written when the stop begins.
+        await asyncio.sleep(0.5)
+        environment.stop()
+        await asyncio.sleep(IDLE_CLOSE_S + 0.6)
+        writer.write(request_head("/reads/", "second"))
+        await asyncio.sleep(0.2)
+        assert [await read_status(reader) for _ in range(2)] == [200, 200]
+        writer.close()
+        assert await environment.wait_stopped() == 0
+
+    async def test_process_outlasts_the_response(self, environment: ProcessEnvironment):
+        """Guards against an exit that leaves a response to the kernel of a machine that stops."""
+        reader, writer = await _connect_with_small_window(environment)
+        writer.write(request_head("/reads/", "slow"))
+        await asyncio.sleep(0.5)
+        environment.stop()
+        await asyncio.sleep(IDLE_CLOSE_S + 0.6)
+        assert environment.daemon.is_running
+        assert await read_status(reader) == 200
+        writer.close()
+        assert await environment.wait_stopped() == 0
