Count a request as in progress from the moment it is taken

Cause: aiohttp takes a request off its queue one iteration of the event loop before the task that handles it begins (Python 3.11). In between neither counted, so a stop that looked then took the connection for idle; on a loaded loop an iteration is long. "connection ended with a request unanswered" missed it for the same reason.

Change: the request is in progress once it is created.

--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -31,7 +31,7 @@
     side that ended it.
     """
 
-    __slots__ = ("_head_size", "_body", "_closed_for", "_takes_requests")
+    __slots__ = ("_head_size", "_body", "_closed_for", "_takes_requests", "_make_request")
 
     def __init__(self, *arguments: object, **options: object) -> None:
         super().__init__(*arguments, lingering_time=DISCARD_MAX_MS / 1_000, **options)
@@ -42,6 +42,8 @@
         # Why the daemon ends the connection.
         self._closed_for = ""
         self._takes_requests = True
+        self._make_request = self._request_factory
+        self._request_factory = self._start_request
 
     @property
     def unanswered(self) -> int:
@@ -138,6 +140,14 @@
 
     # aiohttp's hooks
 
+    def _start_request(self, *arguments: object) -> web.BaseRequest:
+        """Create a request, which is in progress from now on.
+
+        aiohttp takes it for that only once the task that handles it has begun to run.
+        """
+        self._request_in_progress = True
+        return self._make_request(*arguments)
+
     def _process_keepalive(self) -> None:
         if self.transport is None or self._waiter is None or self.is_idle:
             super()._process_keepalive()
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -10,6 +10,7 @@
 import pytest
 from aiohttp import web
 
+from fuchsiatrack.gateway.callerprotocol import CallerProtocol, CallerProtocolServer
 from tests.daemonprocess import ProcessEnvironment, read_status, request_head, run_daemon
 from tests.fleet import route
 
@@ -74,3 +75,33 @@
         assert await read_status(reader) == 200
         writer.close()
         assert await environment.wait_stopped() == 0
+
+
+class TestIdleConnections:
+    """A connection is idle only while no request has been read from it."""
+
+    async def test_request_whose_handler_has_not_started_is_answered(self):
+        """Guards against a close between the read of a request and the start of its handler."""
+        loop = asyncio.get_running_loop()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            if request.transport is None:
+                raise ConnectionResetError
+            return web.Response()
+
+        def close_if_idle(connection: CallerProtocol) -> None:
+            if connection.is_idle:
+                connection.close_idle("idle")
+
+        def create_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+            loop.call_soon(close_if_idle, protocol)
+            return web.BaseRequest(message, payload, protocol, writer, task, loop)
+
+        protocols = CallerProtocolServer(handle, lambda: 75.0, request_factory=create_request)
+        server = await loop.create_server(protocols, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        for number in range(3):
+            writer.write(request_head("/", f"pipelined-{number}"))
+        assert [await read_status(reader) for _ in range(3)] == [200] * 3
+        writer.close()
+        server.close()
