Write the queued log lines before the process ends

A request that a stop leaves unanswered would be logged then, so that a missing line showed nothing.

Cause: the lines are written by a daemon thread, which ends with the process.

Before: the new test reads no line of 200. After: it and the other tests of logs pass.

--- a/src/fuchsiatrack/kernel/logs.py
+++ b/src/fuchsiatrack/kernel/logs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import atexit
+import contextlib
 import logging
 import logging.handlers
 import queue
@@ -12,6 +14,8 @@
 LEVELS = ("debug", "info", "warning", "error")
 # Records beyond this are dropped and counted while the reader of the output is slow.
 MAX_QUEUED_RECORDS = 2_000
+# Longest wait at the end of the process until the queued records are written.
+FLUSH_TIMEOUT_MS = 100
 
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -36,12 +40,24 @@
             self._dropped += 1
 
 
+class _FlushingListener(logging.handlers.QueueListener):
+    """Queue listener whose records are written before the process ends."""
+
+    def flush(self) -> None:
+        """Wait until the queue is written, at most `FLUSH_TIMEOUT_MS`."""
+        timeout_s = FLUSH_TIMEOUT_MS / 1_000
+        with contextlib.suppress(queue.Full):
+            self.queue.put(self._sentinel, timeout=timeout_s)
+            self._thread.join(timeout_s)
+
+
 def configure(vm: str, level: str = "info", bounded: bool = False) -> None:
     """Write every log record of this process as one line of JSON.
 
     Each line has the member `vm`; fields passed in `extra` become members.  Lines go to standard
     error or, if *bounded*, to standard output from a separate thread, so that logging never waits
-    for the output.  Beyond `MAX_QUEUED_RECORDS`, records are then dropped and counted.
+    for the output.  Beyond `MAX_QUEUED_RECORDS`, records are then dropped and counted.  What is
+    queued when the process ends is written, for a bounded time.
     """
     stream = sys.stdout if bounded else sys.stderr
     handler: logging.Handler = logging.StreamHandler(stream)
@@ -57,8 +73,9 @@
 def _run_in_thread(handler: logging.Handler) -> logging.Handler:
     """Return a handler that passes records to *handler* in a separate thread."""
     records: queue.Queue = queue.Queue(MAX_QUEUED_RECORDS)
-    listener = logging.handlers.QueueListener(records, handler)
+    listener = _FlushingListener(records, handler)
     listener.start()
+    atexit.register(listener.flush)
     return _BoundedQueueHandler(records)
 
 
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -7,6 +7,8 @@
 import json
 import logging
 import queue
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given
@@ -168,6 +170,21 @@
         assert records.get().dropped == 8
         assert records.get().getMessage() == "after"
 
+    def test_queued_records_are_written_before_the_process_ends(self):
+        """Guards against an exit that drops the last lines, such as those of a stop."""
+        code = (
+            "import logging\n"
+            "from fuchsiatrack.kernel import logs\n"
+            # Not bounded by the speed of the machine.
+            "logs.FLUSH_TIMEOUT_MS = 10_000\n"
+            "logs.configure('entry-1', bounded=True)\n"
+            "for number in range(200): logging.info('line %s', number)\n"
+        )
+        command = [sys.executable, "-c", code]
+        output = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+        messages = [json.loads(line)["message"] for line in output.splitlines()]
+        assert messages == [f"line {number}" for number in range(200)]
+
     def test_fields_become_members(self, monkeypatch):
         output = io.StringIO()
         monkeypatch.setattr("sys.stderr", output)
