Log the daemon as the side that aborts a connection

Cause: an abort sets neither of aiohttp's marks of a close.

Change: a reason of the daemon's own counts.

Before: the new test reads "caller"; after: "daemon".

--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -103,8 +103,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if self.unanswered or self._head_size:
+            by_daemon = self._closed_for or self._force_close or self._close
             fields = {
-                "closed_by": "daemon" if self._force_close or self._close else "caller",
+                "closed_by": "daemon" if by_daemon else "caller",
                 "why": self._closed_for or repr(exc),
                 "requests": self.unanswered,
                 "in_handler": self._request_in_progress,
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import pathlib
 import socket
 from collections.abc import AsyncIterator
@@ -105,3 +106,23 @@
         assert [await read_status(reader) for _ in range(3)] == [200] * 3
         writer.close()
         server.close()
+
+    async def test_log_names_the_daemon_as_the_side_that_ends_a_connection(self, caplog):
+        """Guards against a request that the daemon drops but its log ascribes to the caller."""
+        caplog.set_level(logging.INFO)
+        loop = asyncio.get_running_loop()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            request.protocol.abort("end of the grace period")
+            await asyncio.sleep(1.0)
+            return web.Response()
+
+        protocols = CallerProtocolServer(handle, lambda: 75.0, handler_cancellation=True)
+        server = await loop.create_server(protocols, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(request_head("/", "aborted"))
+        assert await read_status(reader) == 0
+        message = "connection ended with a request unanswered"
+        assert [item.closed_by for item in caplog.records if item.message == message] == ["daemon"]
+        writer.close()
+        server.close()
