Answer the requests that have arrived before ending a connection at a stop

Cause: a draining daemon looked only at what it had read, not at what the kernel holds for it.

Change: it asks the kernel too, unless what waits belongs to the body of the request.

Before, on: the new test got 200 and no answer for two requests that arrive one behind the other while the daemon drains.

--- a/src/fuchsiatrack/gateway/callerprotocol.py
+++ b/src/fuchsiatrack/gateway/callerprotocol.py
@@ -52,8 +52,12 @@
 
     @property
     def has_next(self) -> bool:
-        """Whether a request has been read, or a part of its head, behind the current one."""
-        return bool(self._messages or self._head_size)
+        """Whether a request has arrived, or a part of one, behind the current one."""
+        if self._messages or self._head_size:
+            return True
+        if self._is_reading_body or self.transport is None:
+            return False
+        return has_unread(self.transport)
 
     @property
     def is_idle(self) -> bool:
@@ -65,7 +69,6 @@
             or self.transport is None
             or self.transport.is_closing()
             or has_unacknowledged(self.transport)
-            or has_unread(self.transport)
         )
 
     @property
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -12,8 +12,9 @@
 from aiohttp import web
 
 from fuchsiatrack.gateway.callerprotocol import CallerProtocol, CallerProtocolServer
+from fuchsiatrack.gateway.forwarder import Exchange
 from tests.daemonprocess import ProcessEnvironment, read_status, request_head, run_daemon
-from tests.fleet import route
+from tests.fleet import route, run_fleet
 
 READS = route("reads", "/reads/", "safe", "catalogue", Timeout="8000ms")
 RECEIVE_BUFFER_BYTES = 8_192
@@ -126,3 +127,29 @@
         assert [item.closed_by for item in caplog.records if item.message == message] == ["daemon"]
         writer.close()
         server.close()
+
+    async def test_request_that_has_arrived_is_answered_while_draining(self, monkeypatch):
+        """Guards against `Connection: close` before a request that the kernel has accepted."""
+        async with run_fleet() as fleet:
+            fleet.publish(1, [READS])
+            await fleet.add_server("catalogue-0", "catalogue")
+            daemon = await fleet.add_daemon("entry-1")
+            await fleet.wait_ready()
+            callers = fleet.settings["entry-1"].callers
+            connection = socket.create_connection((callers.host, callers.port))
+            names = iter(("second", "third"))
+            run = Exchange.run
+
+            async def run_and_send_next(exchange: Exchange) -> web.Response:
+                response = await run(exchange)
+                if (name := next(names, "")) != "":
+                    connection.sendall(request_head("/reads/", name))
+                return response
+
+            monkeypatch.setattr(Exchange, "run", run_and_send_next)
+            daemon._listener.start_draining()
+            connection.sendall(request_head("/reads/", "first"))
+            reader, writer = await asyncio.open_connection(sock=connection)
+            assert [await read_status(reader) for _ in range(3)] == [200] * 3
+            assert await reader.read() == b""
+            writer.close()
