--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -11,7 +11,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
-from fuchsiatrack.callers.kernelstate import has_unread
+from fuchsiatrack.callers.kernelstate import has_unacknowledged, has_unread
 from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
@@ -40,6 +40,7 @@
         "_read_request_id",
         "_requests_at_timeout",
         "_caller_transport",
+        "_make_request",
     )
 
     def __init__(
@@ -61,6 +62,8 @@
         # Why the daemon ends the connection.
         self._closed_for = ""
         self._takes_requests = True
+        self._make_request = self._request_factory
+        self._request_factory = self._start_request
 
     @property
     def unanswered(self) -> list[str]:
@@ -72,8 +75,12 @@
 
     @property
     def has_next(self) -> bool:
-        """Whether a request has been read, or a part of its head, behind the current one."""
-        return bool(self._messages or self._head_size)
+        """Whether a request has arrived, or a part of one, behind the current one."""
+        if self._messages or self._head_size:
+            return True
+        if self._is_reading_body or self.transport is None:
+            return False
+        return has_unread(self.transport)
 
     @property
     def is_idle(self) -> bool:
@@ -84,8 +91,7 @@
             or self._is_reading_body
             or self.transport is None
             or self.transport.is_closing()
-            or self.transport.get_write_buffer_size()
-            or has_unread(self.transport)
+            or has_unacknowledged(self.transport)
         )
 
     @property
@@ -166,6 +172,15 @@
 
     # aiohttp's hooks
 
+    def _start_request(self, *arguments: object) -> web.BaseRequest:
+        """Create a request, which is in progress from now on.
+
+        aiohttp takes it for that only once the task that handles it has begun to run.
+        """
+        self._request_in_progress = True
+        self._current_request = self._make_request(*arguments)
+        return self._current_request
+
     def _process_keepalive(self) -> None:
         is_waiting = self.transport is not None and self._waiter is not None
         if not is_waiting or self._loop.time() < self._next_keepalive_close_time:
