Test what a request waits for while the daemon stops

Covers a server's pause, checked as the stop begins and later, and a retry after a slow failure. With StopDeadline ignored in Exchange all 3 fail (two wait on, one is sent twice); without the check every 50 ms [1000] fails.

--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -13,6 +13,7 @@
 import pytest
 
 from fuchsiatrack.gateway import listener
+from fuchsiatrack.gateway.stoppolicy import StopDeadline
 from fuchsiatrack_standins.fleet.logservice import LogServiceStandIn
 from fuchsiatrack_standins.fleet.server import ServerStandIn
 from tests.daemonprocess import (
@@ -423,3 +424,64 @@
         writer.write(request_head("/orders/", "short", "POST", deadline_ms=4_000))
         assert await read_status(reader) == 200
         writer.close()
+
+
+PATIENT_READS = route(
+    "patient", "/patient/", "safe", "catalogue", Timeout="20000ms", TargetLatency="15000ms"
+)
+
+
+class TestWaitsAcrossStop:
+    """Whatever a request waits for, it isn't sent once it can't end before the stop."""
+
+    PAUSE_MS = 8_000
+    # Half of the pause, so that the request isn't rejected at the end of its wait.
+    REJECTED_S = 4.0
+
+    async def _run_with_stop(self, fleet: Fleet, server: ServerStandIn, left: int) -> bytes:
+        """Return the body of a 503 to a request that waits as the stop begins."""
+        daemon = fleet.daemons["entry-1"]
+        call = asyncio.create_task(fleet.call("/patient/", deadline=20_000))
+        async with asyncio.timeout(TIMEOUT_S):
+            while not daemon._listener.in_flight:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        daemon._listener.start_draining(StopDeadline(daemon._clock.now() + left))
+        async with asyncio.timeout(self.REJECTED_S):
+            status, body, headers = await call
+        assert (status, "Retry-After" in headers, server.arrivals) == (503, True, [])
+        return body
+
+    # Milliseconds from the start of the stop to its end.
+    @pytest.mark.parametrize("left", [50, 1_000])
+    async def test_request_that_waits_out_a_pause_is_rejected(self, fleet: Fleet, left: int):
+        """Guards against waits for a server's pause that outlast the stop."""
+        fleet.publish(2, [PATIENT_READS])
+        daemon, server = fleet.daemons["entry-1"], fleet.servers["catalogue-0"]
+        async with asyncio.timeout(TIMEOUT_S):
+            while daemon._configuration.current.version < 2:
+                await asyncio.sleep(0.01)
+        incarnation = daemon._directory.find("catalogue-0").incarnation
+        daemon._backoff.record(incarnation, self.PAUSE_MS, daemon._clock.now())
+        assert await self._run_with_stop(fleet, server, left) == b"stopping"
+
+    async def test_failed_request_is_not_sent_again_too_late(self, fleet: Fleet):
+        """Guards against retries that begin work at the end of the stop."""
+        server = fleet.servers["catalogue-0"]
+        other = await fleet.add_server("catalogue-1", "catalogue")
+        daemon = fleet.daemons["entry-1"]
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(daemon._directory.of_service("catalogue")) < 2:
+                await asyncio.sleep(0.01)
+        for item in (server, other):
+            item.work_ms, item.status = 600, 500
+        # The first response comes at this time or later.
+        stop_deadline = StopDeadline(daemon._clock.now() + 600)
+        call = asyncio.create_task(fleet.call("/reads/", deadline=8_000))
+        async with asyncio.timeout(TIMEOUT_S):
+            while not server.runs + other.runs:
+                await asyncio.sleep(0.01)
+        daemon._listener.start_draining(stop_deadline)
+        status, _, _ = await call
+        assert status == 500
+        assert len(server.runs + other.runs) == 1
