--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -965,6 +967,77 @@
         assert listener.resets == [True]
 
 
+class RecordingPool(ConnectionPool):
+    """A pool that keeps the last connection which it gave out as `connection`."""
+
+    connection = None
+
+    async def acquire(self, *args, **options):
+        self.connection = await super().acquire(*args, **options)
+        return self.connection
+
+
+class SlowListener:
+    """A server whose kernel holds the end of a long grant up until `read` is called."""
+
+    # Of the kernel, which doubles it; much less than the long handover.
+    RECEIVE_BUFFER_BYTES = 4_096
+    QUIET_S = 0.5
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.RECEIVE_BUFFER_BYTES)
+        self._socket.bind(("127.0.0.1", 0))
+        self._socket.listen()
+        host, port = self._socket.getsockname()
+        self.entry = _entry(INCARNATIONS[0], address=f"{host}:{port}")
+
+    def read(self) -> bytes:
+        """Return all that arrives until nothing does any more."""
+        connection, _ = self._socket.accept()
+        connection.settimeout(self.QUIET_S)
+        received = b""
+        with connection, contextlib.suppress(TimeoutError, ConnectionResetError):
+            while data := connection.recv(65_536):
+                received += data
+        return received
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class TestHeldUpGrantOfAStandingProcess:
+    """A grant is held up below this process, which then stands still; its kernel doesn't."""
+
+    async def _receive(self, read_after: int) -> bytes:
+        """Return what a server gets that reads *read_after* milliseconds after the call."""
+        listener, clock = SlowListener(), SystemClock()
+        pool = RecordingPool(clock, ResponseMemory())
+        grant = RangeGrant(0, 9, 1, 4_000, "x" * 150_000)
+        started_at = clock.now()
+        sending = asyncio.create_task(
+            _grant_client(pool, clock).grant(listener.entry, grant, GRANT_TIMEOUT_MS)
+        )
+        while pool.connection is None or pool.connection.bytes_sent == 0:
+            await clock.sleep(1)
+        # Blocks the event loop.
+        time.sleep(max(0, started_at + read_after - clock.now()) / 1_000)
+        received = listener.read()
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        pool.close()
+        listener.close()
+        return received
+
+    async def test_nothing_is_delivered_after_its_time(self):
+        """Guards against a grant that arrives after the time by which it counts as expired."""
+        assert not (await self._receive(GRANT_TIMEOUT_MS)).endswith(b'x"}')
+
+    async def test_grant_is_delivered_in_time(self):
+        """Guards against a kernel that gives up at the first delay."""
+        assert (await self._receive(100)).endswith(b'x"}')
+
+
 FORMER_TERM = Term(1, "vm-9", "run-of-vm-9", "127.0.0.1:1")
 
 
