Don't reuse the connection of a grant that another server rejected

Seen: after a 421 that was sent twice, the next grant on the connection raised WrongServer though the server had accepted it.

Cause: responses to grants have no id, and the connection went back to the pool. WrongServer means not delivered, so that the record of the accepted grant was withdrawn and its keys counted as free.

Change: the connection of a 421 to a grant or a release ends.

--- a/src/fuchsiatrack/platform/grantclient.py
+++ b/src/fuchsiatrack/platform/grantclient.py
@@ -122,7 +122,9 @@
             connection.bytes_sent,
             connection.bytes_received,
         )
-        self._connections.release(address, address, connection)
         if response.status == WRONG_SERVER_STATUS:
+            # A second copy of it would state that the next grant was not delivered.
+            connection.abort()
             raise WrongServer(f"{address}: response from a server other than {server.id}")
+        self._connections.release(address, address, connection)
         return response
