Let the kernel give up held-up grants before their time is over

Seen: with the process standing still, a grant that was held up for 600 ms was delivered, though its connection was limited to 600 ms.

Cause: TCP_USER_TIMEOUT counts from the first probe or retransmission, not from the send.

Not tested: segments that a cut drops, a machine that is suspended with its kernel.

--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -42,6 +42,9 @@
 # Parsed before the limits are checked.
 PARSE_BYTES = 8_192
 READ_BUFFER_BYTES = 262_144
+# Share of the time for a delivery after which the kernel gives up what is unacknowledged.  It
+# counts from the first retransmission or probe, not from the send.
+UNACKNOWLEDGED_RATIO = 0.5
 # SO_LINGER with a timeout of zero: closing the socket sends a reset instead of an orderly end.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -144,7 +147,9 @@
         if self.transport is not None:
             raw_socket = self.transport.get_extra_info("socket")
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-            raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
+            raw_socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout * UNACKNOWLEDGED_RATIO)
+            )
 
     def abort(self) -> None:
         """Abort the connection, which also cancels the request at the server."""
