Let the soak call daemons on raw connections across stops

Callers that open a connection for each request, send in parts, read late, pipeline requests or upload bodies that are answered early. A request that was sent completely to a stopping daemon and lost with a connection of its own, or LossSlack later, is a violation.

--- a/src/fuchsiatrack_standins/soak/callers.py
+++ b/src/fuchsiatrack_standins/soak/callers.py
@@ -30,6 +30,10 @@
     of them is STOPPING and none is FAULTY; otherwise FAULTY if one is FAULTY or the daemon was
     restarted in between; otherwise HEALTHY.  `sent_at_s` is a time of the monotonic clock, and
     `leaving` tells whether the response said that its server leaves.
+
+    `whole_sent_at_s` is the time when the request had been sent completely, None if it had not or
+    the caller cannot tell; `on_own_connection` tells whether its connection was opened for it, and
+    `paused_ms` is the part of `took_ms` in which the caller paused.
     """
 
     request_id: str
@@ -42,6 +46,9 @@
     path: str = ""
     sent_at_s: float = 0.0
     leaving: bool = False
+    whole_sent_at_s: float | None = None
+    on_own_connection: bool = False
+    paused_ms: int = 0
 
     @property
     def ended_at_s(self) -> float:
--- a/src/fuchsiatrack_standins/soak/environment.py
+++ b/src/fuchsiatrack_standins/soak/environment.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import pathlib
 
 from fuchsiatrack_standins.fleet.logservice import LogServiceStandIn
 from fuchsiatrack_standins.fleet.server import ServerStandIn
 from fuchsiatrack_standins.soak.callers import HOST, KEYS, Callers
+from fuchsiatrack_standins.soak.connectingcaller import ConnectingCaller
 from fuchsiatrack_standins.soak.daemons import DaemonProcess, DaemonState
 from fuchsiatrack_standins.soak.faultproxy import FaultProxy
 from fuchsiatrack_standins.soak.persistentcaller import PersistentCaller
+from fuchsiatrack_standins.soak.pipeliningcaller import PipeliningCaller, respond
+from fuchsiatrack_standins.soak.rawcaller import RawCaller
+from fuchsiatrack_standins.soak.slowcaller import SlowCaller
+from fuchsiatrack_standins.soak.uploadcaller import UploadCaller
 
 # Number of servers of each service.
 SERVICES = {"booking": 3, "reading": 3, "stock": 4}
@@ -27,6 +33,13 @@
 RECOVERY_TIMEOUT_S = 15.0
 WORK_MS = 15
 PERSISTENT_CALLERS_MAX = 16
+# Name, type and number of the callers on raw connections.
+RAW_CALLERS = (
+    ("connecting", ConnectingCaller, 2),
+    ("slow", SlowCaller, 4),
+    ("pipelining", PipeliningCaller, 2),
+    ("upload", UploadCaller, 2),
+)
 # Daemons that are probed at the same time.
 CONCURRENT_PROBES = 16
 
@@ -52,6 +65,7 @@
         self.daemons: list[DaemonProcess] = []
         self.callers: Callers | None = None
         self.persistent_callers: list[PersistentCaller] = []
+        self.raw_callers: list[RawCaller] = []
 
     async def start(self) -> None:
         """Start everything, then wait up to `RECOVERY_TIMEOUT_S` until every daemon serves."""
@@ -72,6 +86,11 @@
             PersistentCaller(f"p{index}", daemon, self._seed, self.callers.calls.append)
             for index, daemon in enumerate(self.daemons[:PERSISTENT_CALLERS_MAX])
         ]
+        self.raw_callers = [
+            kind(f"{name}{index}", self.daemons, self._seed, self.callers.calls.append)
+            for name, kind, count in RAW_CALLERS
+            for index in range(count)
+        ]
         await self.wait_until_served()
 
     def publish_configuration(self) -> None:
@@ -114,6 +133,7 @@
         server = ServerStandIn(
             self.log_service, name, service, keyed=service == "stock", work_ms=WORK_MS
         )
+        server.response_handler = functools.partial(respond, name)
         await server.start(listed=False)
         proxy = self.server_proxies[name] = FaultProxy(server.address)
         await proxy.start()
--- a/src/fuchsiatrack_standins/soak/guarantees.py
+++ b/src/fuchsiatrack_standins/soak/guarantees.py
@@ -19,6 +19,9 @@
 # The rules of the users' platform allow a response this long after the deadline if a request
 # reaches its route's timeout.
 MAX_LATENESS_MS = 500
+# The rule LOST allows the connection of a request that was not passed on to end without an answer
+# for this long after its last byte was sent.
+LOSS_SLACK_S = 0.2
 # The rule DRAIN allows requests to reach a server for this long after it left, if they come from
 # daemons that had no disturbance for `CONTACT_S`.
 DRAIN_S = 2.0
@@ -93,17 +96,26 @@
         if call.status == 200 and not call.text.endswith(call.request_id):
             violations.append(f"{call.request_id} received response {call.text!r}")
         is_healthy = call.state is DaemonState.HEALTHY
-        if check_timing and is_healthy and call.took_ms > DEADLINE_MS + MAX_LATENESS_MS:
+        response_ms = call.took_ms - call.paused_ms
+        if check_timing and is_healthy and response_ms > DEADLINE_MS + MAX_LATENESS_MS:
             violations.append(
                 f"{call.request_id} at {call.vm} took {call.took_ms} ms ({call.status})"
             )
         # A stopping daemon may close a connection while a request is arriving, but not once the
-        # request runs.
-        if call.status == 0 and (is_healthy or (call.state is DaemonState.STOPPING and run_count)):
+        # request runs or has been read.
+        is_owed = call.state is DaemonState.STOPPING and (run_count or _is_read(call))
+        if call.status == 0 and (is_healthy or is_owed):
             violations.append(f"{call.request_id} at {call.vm} received no response: {call.text}")
     return violations
 
 
+def _is_read(call: CompletedCall) -> bool:
+    """Return whether the daemon has had the whole request, as far as its caller can tell."""
+    if call.whole_sent_at_s is None:
+        return False
+    return call.on_own_connection or call.ended_at_s > call.whole_sent_at_s + LOSS_SLACK_S
+
+
 @dataclasses.dataclass(frozen=True)
 class Disturbance:
     """A time in which the log service or a daemon was faulty; seconds of the monotonic clock."""
--- a/src/fuchsiatrack_standins/soak/persistentcaller.py
+++ b/src/fuchsiatrack_standins/soak/persistentcaller.py
@@ -66,12 +66,13 @@
         key = f"X-Shard-Key: {self._rng.choice(KEYS)}\r\n" if is_keyed else ""
         started_at_s = time.monotonic()
         state, start_count = self._daemon.state, self._daemon.start_count
-        status, text, leaving = 0, "", False
+        status, text, leaving, whole_sent_at_s = 0, "", False, None
         try:
             writer.write(
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
                 f"X-Deadline-Ms: {DEADLINE_MS}\r\n{key}Content-Length: 0\r\n\r\n".encode()
             )
+            whole_sent_at_s = time.monotonic()
             async with asyncio.timeout(3 * DEADLINE_MS / 1_000):
                 status, text, leaving = await _read_response(reader)
         except (TimeoutError, OSError, EOFError, ValueError) as error:
@@ -88,6 +89,7 @@
             path,
             started_at_s,
             leaving,
+            whole_sent_at_s,
         )
         self._record(call)
         return status != 0
--- a/src/fuchsiatrack_standins/soak/run.py
+++ b/src/fuchsiatrack_standins/soak/run.py
@@ -67,6 +67,7 @@
         await environment.start()
         tasks = [asyncio.create_task(environment.callers.run()) for _ in range(CALLER_COUNT)]
         tasks += [asyncio.create_task(item.run()) for item in environment.persistent_callers]
+        tasks += [asyncio.create_task(item.run()) for item in environment.raw_callers]
         tasks.append(asyncio.create_task(monitor.run()))
         await injector.run(duration)
         failures = await environment.wait_until_served()
