--- a/src/fuchsiatrack_standins/soak/environment.py
+++ b/src/fuchsiatrack_standins/soak/environment.py
@@ -35,7 +35,7 @@
 PERSISTENT_CALLERS_MAX = 16
 # Name, type and number of the callers on raw connections.
 RAW_CALLERS = (
-    ("connecting", ConnectingCaller, 2),
+    ("connecting", ConnectingCaller, 3),
     ("slow", SlowCaller, 4),
     ("pipelining", PipeliningCaller, 2),
     ("upload", UploadCaller, 2),
