--- a/src/fuchsiatrack_standins/soak/rawconnection.py
+++ b/src/fuchsiatrack_standins/soak/rawconnection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 CHUNK_BYTES = 65_536
@@ -33,7 +34,13 @@
         return cls(connecting)
 
     async def send(self, data: bytes) -> None:
-        """Send all of *data*."""
+        """Send all of *data*.
+
+        Raises OSError, also if the other side has ended the connection without a response.
+        """
+        with contextlib.suppress(BlockingIOError):
+            if not self._socket.recv(1, socket.MSG_PEEK):
+                raise ConnectionAbortedError("connection ended before the request was complete")
         await asyncio.get_running_loop().sock_sendall(self._socket, data)
 
     async def read_response(self) -> tuple[int, str, bool]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import pathlib
 
 import pytest
@@ -18,6 +19,7 @@
     TurnedAway,
 )
 from fuchsiatrack_standins.soak.callers import CompletedCall
+from fuchsiatrack_standins.soak.connectingcaller import CONNECTIONS_AT_ONCE, ConnectingCaller
 from fuchsiatrack_standins.soak.daemons import DaemonState
 from fuchsiatrack_standins.soak.guarantees import (
     Disturbance,
@@ -27,8 +29,13 @@
     check_limits,
 )
 from fuchsiatrack_standins.soak.persistentcaller import PersistentCaller
+from fuchsiatrack_standins.soak.pipeliningcaller import PipeliningCaller
+from fuchsiatrack_standins.soak.rawcaller import RawCaller
+from fuchsiatrack_standins.soak.rawconnection import RawConnection
 from fuchsiatrack_standins.soak.run import run_seed
 from fuchsiatrack_standins.soak.serverwishes import check_leaving, check_pauses, check_repeats
+from fuchsiatrack_standins.soak.slowcaller import SlowCaller
+from fuchsiatrack_standins.soak.uploadcaller import UploadCaller
 
 
 def _call(
@@ -80,6 +87,40 @@
     def test_kept_guarantee_is_not_reported(self, call: CompletedCall, servers: list):
         assert check_calls([call], servers) == []
 
+    @pytest.mark.parametrize(
+        ("state", "whole_sent_at_s", "on_own_connection", "is_reported"),
+        [
+            (DaemonState.STOPPING, 100.1, False, True),
+            (DaemonState.STOPPING, 100.2, False, False),
+            (DaemonState.STOPPING, 100.3, True, True),
+            (DaemonState.STOPPING, None, False, False),
+            (DaemonState.STOPPING, None, True, False),
+            (DaemonState.HEALTHY, None, True, True),
+            (DaemonState.FAULTY, 100.1, True, False),
+        ],
+    )
+    def test_request_that_is_lost_before_a_server_has_it_is_reported(
+        self,
+        state: DaemonState,
+        whole_sent_at_s: float | None,
+        on_own_connection: bool,
+        is_reported: bool,
+    ):
+        """Guards against a stop that ends connections whose request was complete."""
+        call = dataclasses.replace(
+            _call(0, took_ms=350, state=state),
+            sent_at_s=100.0,
+            whole_sent_at_s=whole_sent_at_s,
+            on_own_connection=on_own_connection,
+        )
+        assert bool(check_calls([call], [_server("s1")])) is is_reported
+
+    @pytest.mark.parametrize(("took_ms", "is_reported"), [(3_500, False), (3_501, True)])
+    def test_pauses_of_the_caller_make_no_response_late(self, took_ms: int, is_reported: bool):
+        """Guards against late responses that are put down to the caller, and the reverse."""
+        call = dataclasses.replace(_call(200, took_ms=took_ms), paused_ms=1_000)
+        assert bool(check_calls([call], [_server("s1", "c1")])) is is_reported
+
     @pytest.mark.parametrize(("count", "is_reported"), [(11, False), (12, True)])
     def test_more_requests_than_a_named_limit_allows_are_reported(self, count, is_reported):
         server = _server("s1")
@@ -215,6 +256,7 @@
     def __init__(self, responses: int) -> None:
         self._responses = responses
         self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
         self.callers_address = ("", 0)
 
     async def start(self) -> None:
@@ -222,6 +264,7 @@
         self.callers_address = self._server.sockets[0].getsockname()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
         for _ in range(self._responses):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
@@ -230,6 +273,8 @@
 
     def close(self) -> None:
         self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
 
 class TestPersistentCaller:
@@ -246,3 +291,74 @@
         daemon.close()
         assert [call.status for call in calls[:6]] == [200, 200, 0, 200, 200, 0]
         assert {call.state for call in calls} == {DaemonState.STOPPING}
+
+
+async def _record_calls(kind: type[RawCaller], responses: int, count: int) -> list[CompletedCall]:
+    """Return the first *count* calls at a daemon that answers so many requests a connection."""
+    daemon, calls = FakeDaemon(responses), []
+    await daemon.start()
+    caller = asyncio.create_task(kind("r1", [daemon], 1, calls.append).run())
+    async with asyncio.timeout(30):
+        while len(calls) < count:
+            await asyncio.sleep(0.01)
+    caller.cancel()
+    await asyncio.gather(caller, return_exceptions=True)
+    daemon.close()
+    return calls[:count]
+
+
+class TestRawCallers:
+    """Callers that notice how a daemon ends their connections."""
+
+    @pytest.mark.parametrize("kind", [ConnectingCaller, SlowCaller])
+    async def test_each_request_has_a_connection_of_its_own(self, kind: type[RawCaller]):
+        """Guards against requests on connections that the daemon has announced to close."""
+        calls = await _record_calls(kind, 1, 4)
+        assert {call.status for call in calls} == {200}
+        assert all(call.on_own_connection and call.whole_sent_at_s for call in calls)
+
+    async def test_requests_of_closed_connections_are_reported(self):
+        """Guards against lost requests that their caller doesn't record as complete."""
+        calls = await _record_calls(ConnectingCaller, 0, CONNECTIONS_AT_ONCE)
+        assert len(check_calls(calls, [])) == CONNECTIONS_AT_ONCE
+
+    async def test_request_whose_connection_ends_before_its_body_is_not_complete(self):
+        """Guards against violations where the daemon can't have read the request."""
+        calls = await _record_calls(SlowCaller, 0, 6)
+        assert {call.status for call in calls} == {0}
+        complete = [call for call in calls if call.whole_sent_at_s]
+        assert 0 < len(complete) < len(calls)
+        assert len(check_calls(calls, [])) == len(complete)
+
+    async def test_nothing_is_sent_on_a_connection_that_has_ended(self):
+        """Guards against a request that counts as complete though its last part came too late."""
+        daemon = FakeDaemon(0)
+        await daemon.start()
+        connection = await RawConnection.open(daemon.callers_address)
+        await connection.send(b"POST / HTTP/1.1\r\n\r\n")
+        with pytest.raises(EOFError):
+            await connection.read_response()
+        with pytest.raises(ConnectionAbortedError):
+            await connection.send(b"body")
+        connection.close()
+        daemon.close()
+
+    async def test_slow_caller_records_its_pauses(self):
+        """Guards against responses that count as late because their caller was."""
+        calls = await _record_calls(SlowCaller, 1, 3)
+        assert any(call.paused_ms for call in calls)
+        assert all(call.took_ms >= call.paused_ms for call in calls)
+
+    async def test_each_pipelined_request_is_recorded(self):
+        """Guards against losses behind the first response of a connection."""
+        calls = await _record_calls(PipeliningCaller, 1, 6)
+        assert [call.status for call in calls].count(200) in (2, 3)
+        assert 0 in {call.status for call in calls}
+        assert len({call.request_id for call in calls}) == 6
+        assert not any(call.on_own_connection for call in calls)
+
+    async def test_upload_whose_response_is_dropped_is_recorded(self):
+        """Guards against a reset during a body that no check sees."""
+        [call] = await _record_calls(UploadCaller, 0, 1)
+        assert (call.status, call.on_own_connection) == (0, True)
+        assert check_calls([dataclasses.replace(call, state=DaemonState.HEALTHY)], [])
