Count a connection as idle only while its task waits for a request

Found by the review, and by plays through slow links: a request that was read in the same iteration of the event loop as the check of a stop, or whose head had begun in the same segment as the request before it, was taken for idle.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -16,6 +16,7 @@
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
+HEAD_END = b"\r\n\r\n"
 
 log = logging.getLogger(__name__)
 
@@ -85,9 +86,10 @@
     @property
     def is_idle(self) -> bool:
         """Whether neither a request, nor a part of one, nor a response is under way."""
-        return not (
+        # aiohttp's task waits for a request only while it has none.
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return is_waiting and not (
             self.has_next
-            or self._request_in_progress
             or self._is_reading_body
             or self.transport is None
             or self.transport.is_closing()
@@ -154,12 +156,21 @@
         if self._request_count != requests_before:
             _, self._body = self._messages[-1]
         if was_reading_body or self._request_count != requests_before:
-            self._head_size = 0
+            self._head_size = self._size_after_request(data)
             return
         self._head_size += len(data)
         if self._head_size > MAX_HEAD_BYTES:
             self._reject(431, "head of a request too large")
 
+    def _size_after_request(self, data: bytes) -> int:
+        """Return how much of *data*, in bytes, belongs to the next head.
+
+        That is known only behind a request without a body.
+        """
+        if self._body is not EMPTY_PAYLOAD:
+            return 0
+        return len(data) - data.rfind(HEAD_END) - len(HEAD_END)
+
     def _reject(self, status: int, message: str) -> None:
         """Respond with *status* after the responses to earlier requests, and take no other."""
         log.warning(message, extra={"bytes": self._head_size})
