Bound how long the rest of a body is discarded, and what counts as a head

The rest of a body is discarded as long as its caller sends, 2 s of silence and 64 MiB at most, and then the connection ends in order. A line end between requests no longer counts as a part of a head, which held a stop; a response that is still being read isn't aborted after 30 s; 100-continue concerns requests with a body only; a stop's time begins before its listener closes.

--- a/src/fuchsiatrack/callers/connections.py
+++ b/src/fuchsiatrack/callers/connections.py
@@ -66,7 +66,11 @@
         self._is_draining = True
 
     def prepare_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
-        """Let *response* end its connection if the daemon drains and no request is behind it."""
+        """Let *response* end its connection if the daemon drains and no request is behind it.
+
+        What still arrives of the request's body is discarded.
+        """
+        request.protocol.discard_body()
         if self._is_draining and not request.protocol.has_next:
             response.force_close()
 
@@ -76,9 +80,10 @@
         Then call *end_requests*, which has the requests in flight answered, and end the others.
         """
         self._is_draining = True
+        close_at = asyncio.get_running_loop().time() + timeout / 1_000
         await self._socket.close()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout / 1_000):
+            async with asyncio.timeout_at(close_at):
                 await asyncio.sleep(QUIET_PERIOD_MS / 1_000)
                 await self._close_as_they_become_idle()
         if self.count:
--- a/src/fuchsiatrack/callers/kernelstate.py
+++ b/src/fuchsiatrack/callers/kernelstate.py
@@ -37,15 +37,14 @@
     return any(events & select.POLLIN for _, events in poll.poll(0))
 
 
-def has_unacknowledged(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the caller's machine hasn't acknowledged all that was written."""
-    if transport.get_write_buffer_size():
-        return True
+def count_unacknowledged(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes that were written the caller's machine hasn't acknowledged."""
+    unsent = transport.get_write_buffer_size()
     raw_socket = transport.get_extra_info("socket")
     if raw_socket is None or raw_socket.fileno() < 0:
-        return False
+        return unsent
     try:
         buffer = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
     except OSError:
-        return False
-    return _INT.unpack(buffer)[0] > 0
+        return unsent
+    return unsent + _INT.unpack(buffer)[0]
--- a/src/fuchsiatrack/callers/orderlyclose.py
+++ b/src/fuchsiatrack/callers/orderlyclose.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 
-from fuchsiatrack.callers.kernelstate import has_unacknowledged
+from fuchsiatrack.callers.kernelstate import count_unacknowledged
 
 # The connection is closed once its caller has sent nothing for so long after the end of the
 # daemon's side.
@@ -39,6 +39,11 @@
     def __getattr__(self, name: str) -> object:
         return getattr(self._transport, name)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the daemon has ended the connection."""
+        return self._has_ended
+
     def is_closing(self) -> bool:
         """Return whether nothing more can be written."""
         return self._has_ended or self._transport.is_closing()
@@ -66,6 +71,7 @@
         self._close_at = self._loop.time() + DISCARD_MAX_MS / 1_000
         self._received = 0
         self._received_before = 0
+        self._unsent_before = 0
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -97,11 +103,12 @@
         self._timer = self._loop.call_later(SILENCE_MAX_MS / 1_000, self._check)
 
     def _check(self) -> None:
-        has_unsent = has_unacknowledged(self._transport)
-        if self._loop.time() >= self._close_at:
+        unsent = count_unacknowledged(self._transport)
+        is_read = unsent < self._unsent_before
+        if self._loop.time() >= self._close_at and not is_read:
             self._abort("caller holds the connection")
-        elif has_unsent or self._received > self._received_before:
-            self._received_before = self._received
+        elif unsent or self._received > self._received_before:
+            self._received_before, self._unsent_before = self._received, unsent
             self._schedule_check()
         else:
             self._transport.close()
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -11,12 +11,14 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
-from fuchsiatrack.callers.kernelstate import has_unacknowledged, has_unread
-from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, OrderlyTransport
+from fuchsiatrack.callers.kernelstate import count_unacknowledged, has_unread
+from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, SILENCE_MAX_MS, OrderlyTransport
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
+# Most bytes of a body that are discarded after its response.
+DISCARD_BODY_MAX_BYTES = 2**26
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +44,8 @@
         "_requests_at_timeout",
         "_caller_transport",
         "_make_request",
+        "_discarded",
+        "_discard_check",
     )
 
     def __init__(
@@ -63,6 +67,9 @@
         # Why the daemon ends the connection.
         self._closed_for = ""
         self._takes_requests = True
+        # Of the body whose response is being written or has been.
+        self._discarded = 0
+        self._discard_check: asyncio.TimerHandle | None = None
         self._make_request = self._request_factory
         self._request_factory = self._start_request
 
@@ -93,7 +100,7 @@
             or self._is_reading_body
             or self.transport is None
             or self.transport.is_closing()
-            or has_unacknowledged(self.transport)
+            or count_unacknowledged(self.transport)
         )
 
     @property
@@ -119,6 +126,13 @@
             log.warning("response not sent in full", extra={"why": reason, "bytes": unsent})
         self._caller_transport.abort()
 
+    def discard_body(self) -> None:
+        """Discard what still arrives of the request's body, as long as its caller sends."""
+        if not self._is_reading_body:
+            return
+        self._discarded = 0
+        self._schedule_discard_check(self._body)
+
     def expect_no_body(self) -> None:
         """Close the connection after the response, without waiting for the request's body."""
         self._lingering_time = 0.0
@@ -136,7 +150,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._messages or self._current_request is not None or self._head_size:
-            is_closed_here = bool(self._closed_for) or self._force_close or self._close
+            is_closed_here = bool(self._closed_for) or self._caller_transport.has_ended
             fields = {
                 "closed_by": "daemon" if is_closed_here else "caller",
                 "why": self._closed_for or repr(exc),
@@ -145,12 +159,15 @@
             }
             log.info("connection ended with a request unanswered", extra=fields)
         self._caller_transport = None
+        if self._discard_check is not None:
+            self._discard_check.cancel()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         if not self._takes_requests:
             return
         was_reading_body = self._is_reading_body
+        self._discarded += len(data)
         requests_before = self._request_count
         super().data_received(data)
         if self._request_count != requests_before:
@@ -158,7 +175,8 @@
         if was_reading_body or self._request_count != requests_before:
             self._head_size = self._size_after_request(data)
             return
-        self._head_size += len(data)
+        # Line ends before a request line belong to no request.
+        self._head_size += len(data) if self._head_size else len(data.lstrip(b"\r\n"))
         if self._head_size > MAX_HEAD_BYTES:
             self._reject(431, "head of a request too large")
 
@@ -167,9 +185,28 @@
 
         That is known only behind a request without a body.
         """
-        if self._body is not EMPTY_PAYLOAD:
+        end = data.rfind(HEAD_END)
+        if self._body is not EMPTY_PAYLOAD or end < 0:
             return 0
-        return len(data) - data.rfind(HEAD_END) - len(HEAD_END)
+        return len(data) - end - len(HEAD_END)
+
+    def _schedule_discard_check(self, body: StreamReader) -> None:
+        self._discard_check = self._loop.call_later(
+            SILENCE_MAX_MS / 1_000, self._check_discarded, body, self._discarded
+        )
+
+    def _check_discarded(self, body: StreamReader, discarded_before: int) -> None:
+        """End the connection if nothing, or too much, has arrived of *body*."""
+        if body.is_eof() or self._caller_transport is None:
+            return
+        # The body isn't read while its response is being written.
+        is_silent = self._discarded == discarded_before and not self._request_in_progress
+        if not is_silent and self._discarded <= DISCARD_BODY_MAX_BYTES:
+            self._schedule_discard_check(body)
+            return
+        self._closed_for = "body incomplete" if is_silent else "body too large to discard"
+        self.close()
+        body.feed_eof()
 
     def _reject(self, status: int, message: str) -> None:
         """Respond with *status* after the responses to earlier requests, and take no other."""
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -177,7 +177,7 @@
     @property
     def awaits_continue(self) -> bool:
         """Whether the caller waits for a word of the daemon before it sends the body."""
-        return self._expects_continue and self._body is None
+        return self._expects_continue and self._request.can_read_body and self._body is None
 
     @property
     def _expects_continue(self) -> bool:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from collections.abc import AsyncIterator
 
 import pytest
 from aiohttp import web
 
+from fuchsiatrack.callers import protocol
 from fuchsiatrack.callers.connections import CallerConnections
+from fuchsiatrack.callers.listeningsocket import ListeningSocket
 from tests.daemonprocess import read_status, request_head
 
 HOST = "127.0.0.1"
@@ -87,3 +90,78 @@
         with contextlib.suppress(OSError):
             writer.write(head[40:])
         assert await read_status(reader) == 200
+
+
+async def test_line_end_between_requests_begins_no_request(
+    connections: CallerConnections, unused_tcp_port: int
+):
+    """Guards against a stop that waits for, or answers, a request that nobody sent."""
+    async with _connect(unused_tcp_port) as (reader, writer):
+        writer.write(request_head("/", "only"))
+        assert await read_status(reader) == 200
+        writer.write(b"\r\n")
+        await asyncio.sleep(0.05)
+        (connection,) = connections._server.connections
+        assert connection.is_idle
+
+
+class TestDiscardedBodies:
+    """The rest of a body is discarded after its response, but not for ever."""
+
+    async def test_caller_that_stops_sending_is_closed(
+        self, connections: CallerConnections, unused_tcp_port: int, monkeypatch
+    ):
+        """Guards against descriptors that callers hold with bodies which they don't send."""
+        monkeypatch.setattr(protocol, "SILENCE_MAX_MS", 200)
+        async with _connect(unused_tcp_port) as (reader, writer):
+            writer.write(request_head("/", "silent", "POST", 1_000))
+            assert await read_status(reader) == 200
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+
+    async def test_endless_body_is_closed(
+        self, connections: CallerConnections, unused_tcp_port: int, monkeypatch
+    ):
+        """Guards against callers that have a daemon read without end."""
+        monkeypatch.setattr(protocol, "SILENCE_MAX_MS", 200)
+        monkeypatch.setattr(protocol, "DISCARD_BODY_MAX_BYTES", 100_000)
+        async with _connect(unused_tcp_port) as (reader, writer):
+            writer.write(request_head("/", "endless", "POST", 2**40))
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(20):
+                    while not reader.at_eof():
+                        writer.write(b"b" * 10_000)
+                        await writer.drain()
+                        await asyncio.sleep(0.01)
+
+
+class TestListeningSocket:
+    """Connections that the kernel has opened are accepted, and no new ones opened."""
+
+    async def test_waiting_connections_are_accepted_without_a_filter(
+        self, unused_tcp_port: int, monkeypatch
+    ):
+        """Guards against a close that resets the queue where the kernel takes no filter."""
+        accepted: list[asyncio.Protocol] = []
+
+        def create_protocol() -> asyncio.Protocol:
+            accepted.append(asyncio.Protocol())
+            return accepted[-1]
+
+        listening = ListeningSocket(create_protocol)
+        monkeypatch.setattr(listening, "_ignore_new_connections", lambda: False)
+        await listening.open(HOST, unused_tcp_port)
+        callers = [socket.create_connection((HOST, unused_tcp_port)) for _ in range(5)]
+        await listening.close()
+        for caller in callers:
+            caller.close()
+        assert len(accepted) == 5
+
+    async def test_no_connection_is_opened_while_the_listener_closes(self, unused_tcp_port: int):
+        """Guards against connections that are opened after the last one was accepted."""
+        listening = ListeningSocket(asyncio.Protocol)
+        await listening.open(HOST, unused_tcp_port)
+        assert listening._ignore_new_connections()
+        with pytest.raises(TimeoutError):
+            socket.create_connection((HOST, unused_tcp_port), timeout=0.3)
+        await listening.close()
