review: work goes on for callers that have sent ahead and left

Cause: a connection whose reading is paused, as much waits behind the request that is served, isn't watched for its end.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 # target/deps.
 cd "$(dirname "$0")/.." || exit 2
 set -e
-python3 -m compileall -q src/fuchsiatrack_standins review/common-2 review/6 review/7 review/8 review/9
+python3 -m compileall -q src/fuchsiatrack_standins review/common-2 review/6 review/7 review/8 review/9 review/10
 PYTHONPATH=review/common-2:src:target/deps python3 -c \
     "import cluster, fuchsiatrack_standins.fleet.logservice, fuchsiatrack_standins.fleet.server"
