review: each case names the record that it writes

Cause: record.txt was named in review/common-2/cluster.py only, so that the cases themselves didn't show that they write it.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -107,4 +107,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, pathlib.Path(__file__).resolve().parent))
+    sys.exit(run_case(play, pathlib.Path(__file__).with_name("record.txt")))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -297,4 +297,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, pathlib.Path(__file__).resolve().parent))
+    sys.exit(run_case(play, pathlib.Path(__file__).with_name("record.txt")))
--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -99,7 +99,7 @@
 
 
 class Record:
-    """Writes what happened to `record.txt`, with the seconds since the start."""
+    """Writes what happened to the file at *path*, with the seconds since the start."""
 
     def __init__(self, path: pathlib.Path) -> None:
         self._file = path.open("w", encoding="utf-8")
@@ -409,13 +409,14 @@
             record.write(f"{server.id} got a release: {body}")
 
 
-def run_case(play, folder: pathlib.Path) -> int:
+def run_case(play, record_path: pathlib.Path) -> int:
     """Play a case in a temporary folder; return 1 if the rule was broken, 0 if not, 2 if unplayed.
 
-    *play* is a coroutine function of the record, the folder and whether there is trouble.
+    *play* is a coroutine function of the record, the folder and whether there is trouble.  The record
+    is written to *record_path*.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     record.write(f"trouble: {trouble}")
     directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
 
