--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -9,15 +9,14 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import pathlib
-import resource
 from collections.abc import AsyncIterator, Callable
 
 import pytest
 from aiohttp import web
 
-from tests.daemonprocess import ProcessEnvironment, request_head, run_daemon
+from tests.crowds import TIMEOUT_S, Crowd, Target
+from tests.daemonprocess import request_head, run_daemon
 from tests.fleet import HOST, route
 
 # Limits of the daemon's machine.  The smallest machines of the deployments have 160 MB.
@@ -33,17 +32,19 @@
 # Chunks of two bytes.
 SMALL_CHUNKS = 40_000
 LONG_ANSWER_BYTES = 2**20
+# Bodies of ordinary orders, and of the crowd beside them.
+ORDER_BYTES = 20_000
+SHORT_BODY_BYTES = 10_000
+# Trailer fields after a chunked body, each as large as the largest head.
+TRAILERS = 120
 EMPTY_LINES_BYTES = 8 * 2**20
-# Guards for tests that would hang; nothing is measured against them.
-TIMEOUT_S = 60.0
-SEND_TIMEOUT_S = 5.0
-# For how long the daemon gets to take what the crowd has sent.
-SETTLE_S = 2.0
 ROUTES = [
     route("uploads", "/uploads/", "upload", "vault", Timeout="20000ms"),
     route("long", "/long/", "safe", "archive", Timeout="20000ms"),
     route("slow", "/slow/", "safe", "slow", Timeout="20000ms"),
-    route("reads", "/reads/", "safe", "catalogue"),
+    # Ordinary requests, which no machine is too slow for.
+    route("reads", "/reads/", "safe", "catalogue", Timeout="20000ms"),
+    route("orders", "/orders/", "unsafe", "catalogue", Timeout="20000ms"),
 ]
 SERVERS = (
     ("vault-0", "vault", 60_000.0),
@@ -53,123 +54,49 @@
 )
 
 
-@dataclasses.dataclass
-class Crowd:
-    """Connections of hostile callers to one daemon process, which stay open."""
-
-    environment: ProcessEnvironment
-    connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = dataclasses.field(
-        default_factory=list
-    )
-
-    @property
-    def _process_folder(self) -> pathlib.Path:
-        return pathlib.Path(f"/proc/{self.environment.daemon._process.pid}")
-
-    @property
-    def peak_kb(self) -> int:
-        """Largest resident size of the process so far, with what its sockets hold now."""
-        status = (self._process_folder / "status").read_text().splitlines()
-        [line] = [item for item in status if item.startswith("VmHWM")]
-        return int(line.split()[1]) + self._unread_bytes // 1_024
-
-    @property
-    def _unread_bytes(self) -> int:
-        """What the kernel holds for the process of what callers have sent."""
-        host, port = self.environment.daemon.callers_address
-        octets = reversed(host.split("."))
-        address = "".join(f"{int(octet):02X}" for octet in octets) + f":{port:04X}"
-        lines = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()]
-        # The listener's queue counts connections.
-        return sum(
-            int(line[4].partition(":")[2], 16)
-            for line in lines
-            if line[1] == address and line[3] != "0A"
-        )
+def _read(number: int) -> bytes:
+    return request_head("/reads/", f"ordinary-{number}", deadline_ms=20_000)
 
-    @property
-    def descriptors(self) -> int:
-        """How many descriptors the process has open."""
-        return len(list((self._process_folder / "fd").iterdir()))
-
-    async def send(self, count: int, pieces: Callable[[int], list[bytes]]) -> None:
-        """Open *count* connections, and send on each the pieces for its number."""
-        async with asyncio.timeout(TIMEOUT_S):
-            await asyncio.gather(*(self._send(pieces(number)) for number in range(count)))
-        await asyncio.sleep(SETTLE_S)
-
-    async def _send(self, pieces: list[bytes]) -> None:
-        """Send as much as the daemon takes."""
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(SEND_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(
-                    *self.environment.daemon.callers_address, limit=1_024
-                )
-                self.connections.append((reader, writer))
-                for piece in pieces:
-                    writer.write(piece)
-                    await writer.drain()
-
-    async def check(self) -> None:
-        """Check what must hold while the crowd stays, and after it has left."""
-        assert await self._ask() == 200
-        self._check_bounds()
-        self.close()
-        assert await self._ask() == 200
-        self._check_bounds()
-        output = (self.environment.daemon._directory / "entry-1.log").read_text()
-        assert "Traceback" not in output
-
-    def _check_bounds(self) -> None:
-        assert self.environment.daemon.is_running
-        peak_kb, descriptors = self.peak_kb, self.descriptors
-        print(
-            f"peak {peak_kb} KB of {MEMORY_KB}, {self._unread_bytes // 1_024} of them unread,"
-            f" {descriptors} descriptors of {MAX_FDS}"
-        )
-        assert peak_kb < MEMORY_KB
-        assert descriptors < MAX_FDS
-
-    async def _ask(self) -> int:
-        """Return the status of an ordinary request, whose caller repeats it when refused."""
-        async with asyncio.timeout(TIMEOUT_S):
-            while True:
-                with contextlib.suppress(OSError, EOFError):
-                    reader, writer = await self.environment.connect()
-                    writer.write(request_head("/reads/", f"ordinary-{id(writer)}"))
-                    head = await reader.readuntil(b"\r\n\r\n")
-                    writer.close()
-                    if not head.startswith((b"HTTP/1.1 429", b"HTTP/1.1 503")):
-                        return int(head.split()[1])
-                await asyncio.sleep(0.2)
-
-    def close(self) -> None:
-        """Let all callers of the crowd leave."""
-        for _, writer in self.connections:
-            writer.transport.abort()
+
+def _order(number: int) -> bytes:
+    body = b"x" * ORDER_BYTES
+    return request_head("/orders/", f"ordinary-{number}", "POST", len(body), 20_000) + body
 
 
 @contextlib.asynccontextmanager
-async def run_crowd(folder: pathlib.Path) -> AsyncIterator[Crowd]:
-    """Yield a crowd without connections at a daemon with servers of four services."""
+async def run_crowd(
+    folder: pathlib.Path, request: Callable[[int], bytes] = _read
+) -> AsyncIterator[Crowd]:
+    """Yield a crowd without connections at a daemon with servers of four services.
+
+    *request* returns the ordinary request with the given number.
+    """
 
     async def respond(request: web.BaseRequest, headers: dict[str, str]) -> web.Response:
         return web.Response(headers=headers, body=b"x" * LONG_ANSWER_BYTES)
 
     async with run_daemon(folder, ROUTES, SERVERS, SETTINGS) as environment:
         environment.servers["archive-0"].response_handler = respond
-        process = environment.daemon._process.pid
-        resource.prlimit(process, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
-        crowd = Crowd(environment)
+        target = Target(
+            environment.daemon._process.pid,
+            environment.daemon.callers_address,
+            folder / "entry-1.log",
+            lambda: environment.daemon.is_running,
+            request,
+            MEMORY_KB,
+            MAX_FDS,
+        )
+        target.limit_descriptors()
+        crowd = Crowd(target)
         try:
             yield crowd
         finally:
             crowd.close()
 
 
-def _chunked_head(number: int) -> bytes:
+def _chunked_head(number: int, path: str = "/uploads/") -> bytes:
     return (
-        f"POST /uploads/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: upload-{number}\r\n"
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: upload-{number}\r\n"
         "X-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
@@ -234,6 +161,33 @@
             await crowd.send(CROWD, lambda number: [_chunked_head(number), chunks, b"0\r\n"])
             await crowd.check()
 
+    @pytest.mark.parametrize("path", ["/uploads/", "/unknown/"], ids=["forwarded", "rejected"])
+    async def test_trailers_without_end(self, path: str, tmp_path: pathlib.Path):
+        trailer = b"T: " + b"x" * LARGE_HEAD_BYTES + b"\r\n"
+        async with run_crowd(tmp_path) as crowd:
+            await crowd.send(
+                CROWD,
+                lambda number: [
+                    _chunked_head(number, path),
+                    b"2\r\nxx\r\n0\r\n",
+                    *[trailer] * TRAILERS,
+                ],
+            )
+            await crowd.check()
+
+    async def test_orders_beside_bodies_that_go_on_for_long(self, tmp_path: pathlib.Path):
+        def pieces(number: int) -> list[bytes]:
+            if number % 2:
+                return [_chunked_head(number), b"1\r\nx\r\n"]
+            head = request_head(
+                "/uploads/", f"short-{number}", "POST", SHORT_BODY_BYTES, deadline_ms=20_000
+            )
+            return [head, b"1\r\nx\r\n"]
+
+        async with run_crowd(tmp_path, _order) as crowd:
+            async with crowd.keep_sending(CROWD, pieces, b"1\r\nx\r\n"):
+                await crowd.check()
+
 
 class TestAnswers:
     """Long answers that many callers don't read on."""
@@ -263,3 +217,28 @@
         async with run_crowd(tmp_path) as crowd:
             await crowd.send(CONNECTION_CROWD, lambda number: [_partial_head(number)])
             await crowd.check()
+
+
+class TestMixed:
+    """Crowds of several kinds at once."""
+
+    async def test_heads_bodies_and_answers(self, tmp_path: pathlib.Path):
+        field = b"A: " + b"x" * LARGE_HEAD_BYTES
+        chunk = b"%x\r\n%b\r\n" % (LARGE_BODY_BYTES, b"x" * LARGE_BODY_BYTES)
+
+        def pieces(number: int) -> list[bytes]:
+            kinds = (
+                [_partial_head(number), field],
+                [request_head("/slow/", f"slow-{number}", deadline_ms=20_000)]
+                + [_partial_head(number) + field + b"\r\n\r\n"] * 32,
+                [_chunked_head(number), chunk, b"0\r\n"],
+                [
+                    request_head("/long/", f"long-{number}-{item}", deadline_ms=20_000)
+                    for item in range(8)
+                ],
+            )
+            return kinds[number % len(kinds)]
+
+        async with run_crowd(tmp_path) as crowd:
+            await crowd.send(2 * CROWD, pieces)
+            await crowd.check()
