Bound the trailers behind a chunked body

Callers saw both daemons grow to gigabytes, which ends the process on any machine of the deployments: a chunked body whose last chunk is followed by trailer fields without an empty line.

Cause: aiohttp's parser keeps trailers in the list of the head's fields until the body ends. It bounds each field and their number (128), so one connection may hold 128 times 64 KiB in the gateway, twice, raw and decoded. CallerProtocol counts bytes as those of a head only outside of a body, and RequestMemory counts what is buffered of a body, which trailers aren't. A rejected request's body is still parsed while it is discarded, so that not even a route was needed.

What arrives while a body doesn't grow belongs to chunk heads or trailers. It is counted with the heads of all callers, of which the largest gives way, and the connection is reset above 64 KiB, the limit of a head. Callers within the limits send no trailers of that size.

--- a/src/fuchsiatrack/callers/connectionbudget.py
+++ b/src/fuchsiatrack/callers/connectionbudget.py
@@ -41,7 +41,7 @@
     @property
     @abc.abstractmethod
     def held_bytes(self) -> int:
-        """What it holds of heads: those being received, served, and waiting."""
+        """What it holds of heads and trailers: those being received, served, and waiting."""
 
     @abc.abstractmethod
     def give_way(self, reason: str) -> None:
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -86,6 +86,7 @@
         "_is_counted",
         "_unread_at_timeout",
         "_has_large_buffer",
+        "_framing",
     )
 
     def __init__(
@@ -116,6 +117,8 @@
         self._held = 0
         self._queued = 0
         self._is_counted = False
+        # Bytes of chunk heads and trailers since a part of the body arrived.
+        self._framing = 0
         self._has_large_buffer = False
         # What the caller hadn't read when the keepalive timeout ended last.
         self._unread_at_timeout = 0
@@ -196,7 +199,8 @@
     @property
     def held_bytes(self) -> int:
         is_served = self._request_in_progress or self._messages or self._head_size
-        return HEAD_COPIES * self._held if is_served else 0
+        held = self._held if is_served else 0
+        return HEAD_COPIES * (held + self._framing)
 
     @property
     def _is_reading_body(self) -> bool:
@@ -289,7 +293,10 @@
         was_reading_body = self._is_reading_body
         self._discarded += len(data)
         requests_before = self._request_count
+        body, body_size = self._body, self._body.total_bytes if was_reading_body else 0
         super().data_received(data)
+        if was_reading_body:
+            self._count_framing(0 if body.is_eof() or body.total_bytes > body_size else len(data))
         if self._request_count != requests_before:
             self._line_ends = 0
             _, self._body = self._messages[-1]
@@ -328,7 +335,22 @@
         elif not self._head_size:
             self._held = 0
         self._held += size
-        if self._held > UNCOUNTED_HEAD_BYTES or self._is_counted:
+        self._report_held()
+
+    def _count_framing(self, size: int) -> None:
+        """Count *size* bytes that brought no part of a body, 0 after a part or its end.
+
+        They belong to chunk heads, or to trailers, which the parser keeps until the body ends.
+        """
+        self._framing = self._framing + size if size else 0
+        if self._framing > MAX_HEAD_BYTES:
+            self._takes_requests = False
+            self.abort("trailers too large")
+            return
+        self._report_held()
+
+    def _report_held(self) -> None:
+        if self._held + self._framing > UNCOUNTED_HEAD_BYTES or self._is_counted:
             held = self.held_bytes
             self._is_counted = bool(held)
             self._budget.hold(self, held)
