Move the memory of bodies and responses, and their writer, to callers/

No change of behaviour: fuchsiatrackd is to bound what it holds for callers by the same classes, and routing/ must not import from gateway/. ResponseWriter and write_response come out of the gateway's listener unchanged; test_slow_callers names the new module.

--- a/src/fuchsiatrack/gateway/connectionpool.py
+++ b/src/fuchsiatrack/gateway/connectionpool.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-from fuchsiatrack.gateway.responsememory import ResponseMemory
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.gateway.serverconnection import (
     MAX_IDLE_MS,
     ConnectFailed,
--- a/src/fuchsiatrack/gateway/daemon.py
+++ b/src/fuchsiatrack/gateway/daemon.py
@@ -13,6 +13,8 @@
 
 from fuchsiatrack.callers.connectionbudget import ConnectionBudget, budget_limits
 from fuchsiatrack.callers.kernelstate import descriptor_limit
+from fuchsiatrack.callers.requestmemory import RequestMemory
+from fuchsiatrack.callers.responsememory import ResponseMemory, body_limit
 from fuchsiatrack.coldstart.coldservers import ColdServers
 from fuchsiatrack.coldstart.terms import ColdStartTerms
 from fuchsiatrack.control.compactedlog import CompactedRecord, ReadContext, StreamConsumer
@@ -28,8 +30,6 @@
 from fuchsiatrack.gateway.forwarder import ExchangeDependencies
 from fuchsiatrack.gateway.listener import CallerListener
 from fuchsiatrack.gateway.rangeservice import RangeService
-from fuchsiatrack.gateway.requestmemory import RequestMemory
-from fuchsiatrack.gateway.responsememory import ResponseMemory, body_limit
 from fuchsiatrack.gateway.sendwatch import SendWatch
 from fuchsiatrack.gateway.serverselection import BalancedSelector, OwnerSelector, ServerSelector
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -13,6 +13,7 @@
 
 from fuchsiatrack.callers.kernelstate import has_left
 from fuchsiatrack.callers.protocol import SOCKET_BUFFER_BYTES
+from fuchsiatrack.callers.requestmemory import RequestMemory
 from fuchsiatrack.coldstart.coldservers import ColdServers
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry
 from fuchsiatrack.gateway.admission import (
@@ -24,7 +25,6 @@
 )
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.headers import BadRequest, HeaderCodec, RequestMetadata, ResponseMetadata
-from fuchsiatrack.gateway.requestmemory import RequestMemory
 from fuchsiatrack.gateway.retrypolicy import FailedSend, retry_delay
 from fuchsiatrack.gateway.sendwatch import SendWatch
 from fuchsiatrack.gateway.serverconnection import (
--- a/src/fuchsiatrack/gateway/serverconnection.py
+++ b/src/fuchsiatrack/gateway/serverconnection.py
@@ -20,7 +20,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from fuchsiatrack.callers.kernelstate import count_unacknowledged
-from fuchsiatrack.gateway.responsememory import (
+from fuchsiatrack.callers.responsememory import (
     MAX_RESPONSE_BYTES,
     ResponseMemory,
     ResponseReceiver,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,8 +9,8 @@
 import pytest
 from multidict import CIMultiDict
 
+from fuchsiatrack.callers.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
-from fuchsiatrack.gateway.responsememory import ResponseMemory, ResponseReceiver
 from fuchsiatrack.gateway.serverconnection import OutgoingRequest, RequestFailed
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.verdict import Verdict
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -12,9 +12,9 @@
 import pytest
 from multidict import CIMultiDict
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.gateway import connectionpool
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
-from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.retrypolicy import MAX_FAILED_CONNECTS, FailedSend, retry_delay
 from fuchsiatrack.gateway.serverconnection import OutgoingRequest, RequestFailed
 from fuchsiatrack.kernel.clock import SystemClock
--- a/tests/test_grant_responses.py
+++ b/tests/test_grant_responses.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.directory.servers import ServerEntry, ServerIncarnation
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
-from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.kernel.clock import SystemClock
 from fuchsiatrack.kernel.metrics import NullMetrics
 from fuchsiatrack.kernel.trafficcounter import TrafficCounter
--- a/tests/test_owner_incident.py
+++ b/tests/test_owner_incident.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.compactedlog import (
     CompactedLog,
     CompactedPage,
@@ -26,7 +27,6 @@
 from fuchsiatrack.directory.servers import ServerDirectory, ServerEntry, ServerIncarnation
 from fuchsiatrack.gateway.connectionpool import ConnectionPool
 from fuchsiatrack.gateway.rangeservice import RangeService
-from fuchsiatrack.gateway.responsememory import ResponseMemory
 from fuchsiatrack.gateway.serverstats import ServerStatsRegistry
 from fuchsiatrack.gateway.settings import Endpoint, GatewaySettings
 from fuchsiatrack.kernel.clock import Clock, SystemClock
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -13,9 +13,9 @@
 from aiohttp import web
 
 from fuchsiatrack.callers.protocol import MAX_HEAD_BYTES
+from fuchsiatrack.callers.requestmemory import MAX_BUFFERED_BYTES
+from fuchsiatrack.callers.responsememory import MAX_TOTAL_BYTES, ResponseMemory, body_limit
 from fuchsiatrack.control.compactedlog import Stream
-from fuchsiatrack.gateway.requestmemory import MAX_BUFFERED_BYTES
-from fuchsiatrack.gateway.responsememory import MAX_TOTAL_BYTES, ResponseMemory, body_limit
 from fuchsiatrack.kernel.errors import PlatformUnavailable
 from fuchsiatrack.platform.logservice import MAX_PAGE_BYTES, LogServiceClient
 from fuchsiatrack_standins.fleet.logservice import LogServiceStandIn
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -8,7 +8,7 @@
 import pytest
 from fakes import run_virtual
 
-from fuchsiatrack.gateway.listener import PIECE_BYTES, PROGRESS_TIMEOUT_S, _ResponseWriter
+from fuchsiatrack.callers.responsewriter import PIECE_BYTES, PROGRESS_TIMEOUT_S, ResponseWriter
 from fuchsiatrack.kernel.metrics import NullMetrics
 
 UNREAD_BYTES = 4 * 2**20
@@ -58,7 +58,7 @@
     connection = types.SimpleNamespace(transport=transport)
     loop = asyncio.get_running_loop()
     started_at = loop.time()
-    writer = _ResponseWriter(connection, NullMetrics())
+    writer = ResponseWriter(connection, NullMetrics())
     task = asyncio.create_task(writer.write(types.SimpleNamespace(method="GET"), FakeResponse()))
     try:
         async with asyncio.timeout(limit):
