Forward compressed bodies as they are

Callers of fuchsiatrackd that sent a body with Content-Encoding: gzip got 502 crossed-answer each time, and the request may have run: aiohttp decoded the body, and the daemon sent the decoded bytes with the caller's Content-Encoding, so that the server couldn't read them.

Cause: CallerServer left auto_decompress on, which the gateway's listener switches off.

--- a/src/fuchsiatrack/routing/callerserver.py
+++ b/src/fuchsiatrack/routing/callerserver.py
@@ -62,6 +62,8 @@
             ConnectionBudget(budget_limits(0, descriptor_limit()), metrics),
             max_line_size=settings.max_header,
             max_field_size=settings.max_header,
+            # Bodies are forwarded as they come, and would take many times their size when decoded.
+            auto_decompress=False,
         )
         # Each ends one exchange.
         self._timeouts: set[asyncio.Timeout] = set()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import dataclasses
+import gzip
+import hashlib
 import json
+import random
 
 import aiohttp
 import pytest
@@ -34,8 +37,6 @@
 
 
 def _digest(caller: str) -> str:
-    import hashlib
-
     return hashlib.sha256(f"token-of-{caller}".encode()).hexdigest()
 
 
@@ -211,11 +212,21 @@
 
     async def test_upload_is_complete(self, running):
         response = await send(running, "PUT", "/footage/x", data=b"z" * 5_000_000)
-        import hashlib
-
         digest = hashlib.sha256(b"z" * 5_000_000).hexdigest()[:16]
         assert digest.encode() in response.body
 
+    @pytest.mark.parametrize("size", [5_000, 5_000_000])
+    async def test_compressed_upload_is_forwarded_as_it_is(self, running, size):
+        body = random.Random(size).randbytes(size)
+        headers = {"Content-Encoding": "gzip"}
+        response = await send(
+            running, "PUT", "/footage/x", data=gzip.compress(body), headers=headers
+        )
+        # The server decodes it.
+        digest = hashlib.sha256(body).hexdigest()[:16]
+        assert response.status == 200
+        assert digest.encode() in response.body
+
 
 class TestPublishing:
     async def test_new_service_does_not_interrupt_the_others(self, running):
