Bound the memory of fuchsiatrackd by a setting

Callers of fuchsiatrackd that asked for long answers and read none of them made it outgrow its machine: it streams an answer, and held for each what the kernel received from the server, up to 6 MB, aiohttp's reader and the caller's transport, without a bound on all of them together. Short answers to callers that read none took a place and a connection to a server each for as long as the callers stayed, until no descriptor was left for the server of the ordinary request, which got 502.

The daemon didn't know what it may use. memory_mb (256, the target's figure for a daemon) bounds connections and heads as in the gateway. ResponseMemory counts each answer until its caller has read most of it, a streamed one as 512 KiB, and those without progress go first; all are written by ResponseWriter, which resets a connection that makes no progress for 30 s. Sockets to servers have a small receive buffer.

--- a/src/fuchsiatrack/callers/responsewriter.py
+++ b/src/fuchsiatrack/callers/responsewriter.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Iterator
 
 from aiohttp import web
 
@@ -24,7 +25,10 @@
 
 
 class ResponseWriter(ResponseReceiver):
-    """Holds a response until the caller on *connection* has read most of it."""
+    """Holds a response until the caller on *connection* has read most of it.
+
+    A response is either passed to `write`, or written by the user of `watch`.
+    """
 
     def __init__(self, connection: web.RequestHandler, metrics: Metrics) -> None:
         self._connection = connection
@@ -60,6 +64,19 @@
                 # An error's traceback may keep the response for long.
                 response.body = None
 
+    @contextlib.contextmanager
+    def watch(self) -> Iterator[None]:
+        """End the connection if a response that is written meanwhile makes no progress for long."""
+        self._schedule_check()
+        try:
+            yield
+        finally:
+            self._check.cancel()
+
+    def record_progress(self) -> None:
+        """Count a part of the response that has left for the transport."""
+        self._progress_at = self._loop.time()
+
     async def _write_pieces(
         self, request: web.BaseRequest, response: web.Response, body: memoryview
     ) -> None:
@@ -67,7 +84,7 @@
         writer = await response.prepare(request)
         for start in range(0, len(body), PIECE_BYTES):
             await writer.write(body[start : start + PIECE_BYTES], LIMIT=0)
-            self._progress_at = self._loop.time()
+            self.record_progress()
         # The body of the response has been written.
         await web.StreamResponse.write_eof(response)
 
--- a/src/fuchsiatrack/daemon/context.py
+++ b/src/fuchsiatrack/daemon/context.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.appendlog import AppendLog
 from fuchsiatrack.control.leadership import Leadership
 from fuchsiatrack.control.records import Daemon
@@ -24,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Context:
-    """Identity, clock, clients of outside services, and voter of one daemon."""
+    """Identity, clock, clients of outside services, voter and memory bounds of one daemon."""
 
     settings: Settings
     local_daemon: Daemon
@@ -35,6 +36,7 @@
     voter: Voter
     session: aiohttp.ClientSession
     rng: random.Random
+    response_memory: ResponseMemory
 
     def create_replica(
         self, stream: str, create_state: Callable[[], ReplicatedState]
--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 from reactivex import operators
 
+from fuchsiatrack.callers.responsememory import ResponseMemory, body_limit
 from fuchsiatrack.control.leadership import Leadership
 from fuchsiatrack.control.publishvalidator import PublishValidator
 from fuchsiatrack.control.records import Accept, Daemon
@@ -91,6 +92,8 @@
             self.context.clock,
             self.context.metrics,
             settings.requests,
+            self.context.response_memory,
+            settings.memory_bytes,
         )
 
     def objects(self) -> ObjectSet:
@@ -283,4 +286,5 @@
             )
         ),
         rng=random.Random(),
+        response_memory=ResponseMemory(max_total=body_limit(settings.memory_bytes)),
     )
--- a/src/fuchsiatrack/kernel/settings.py
+++ b/src/fuchsiatrack/kernel/settings.py
@@ -118,7 +118,10 @@
 
 @pydantic.dataclasses.dataclass(frozen=True, config=_STRICT)
 class Settings:
-    """Contents of a daemon's settings file."""
+    """Contents of a daemon's settings file.
+
+    The daemon keeps within `memory_mb` of the VM's memory, in megabytes, whatever callers do.
+    """
 
     vm: Name
     failure_domain: Name
@@ -128,10 +131,16 @@
     timings: TimingSettings = TimingSettings()
     requests: RequestSettings = RequestSettings()
     statsd: StatsdSettings | None = None
+    memory_mb: Annotated[int, Field(ge=100, le=1_000_000)] = 256
     snapshot_records: Annotated[int, Field(ge=10, le=1_000_000)] = 500
     event_loop: Annotated[str, Field(pattern="^(asyncio|uvloop)$")] = "uvloop"
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
+    @property
+    def memory_bytes(self) -> int:
+        """`memory_mb` in bytes."""
+        return self.memory_mb * 1_000_000
+
 
 _ADAPTER = TypeAdapter(Settings)
 
--- a/src/fuchsiatrack/routing/callerserver.py
+++ b/src/fuchsiatrack/routing/callerserver.py
@@ -12,6 +12,8 @@
 from fuchsiatrack.callers.connectionbudget import ConnectionBudget, budget_limits
 from fuchsiatrack.callers.connections import CallerConnections
 from fuchsiatrack.callers.kernelstate import descriptor_limit
+from fuchsiatrack.callers.responsememory import ResponseMemory
+from fuchsiatrack.callers.responsewriter import write_response
 from fuchsiatrack.kernel.clock import Clock
 from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.settings import RequestSettings
@@ -33,7 +35,8 @@
     """Serves callers: sends ``/SERVICE/PATH`` to a backend server of SERVICE as ``/PATH``.
 
     *dependencies_for* returns the dependencies of an exchange for a service, or raises
-    RequestError.  `in_flight` is the number of requests that are being served.
+    RequestError.  `in_flight` is the number of requests that are being served.  The process may use
+    *memory* bytes; *response_memory* counts the responses that callers haven't read yet.
     """
 
     def __init__(
@@ -45,6 +48,8 @@
         clock: Clock,
         metrics: Metrics,
         settings: RequestSettings,
+        response_memory: ResponseMemory,
+        memory: int,
     ) -> None:
         self._admission = admission
         self._dependencies_for = dependencies_for
@@ -53,13 +58,14 @@
         self._clock = clock
         self._metrics = metrics
         self._settings = settings
+        self._response_memory = response_memory
         self._draining = False
         self._has_ended = False
         self._connections = CallerConnections(
             self._handle,
             lambda: KEEPALIVE_TIMEOUT_S,
             lambda headers: headers.get(ORDER, ""),
-            ConnectionBudget(budget_limits(0, descriptor_limit()), metrics),
+            ConnectionBudget(budget_limits(memory, descriptor_limit()), metrics),
             max_line_size=settings.max_header,
             max_field_size=settings.max_header,
             # Bodies are forwarded as they come, and would take many times their size when decoded.
@@ -105,6 +111,8 @@
         finally:
             self.in_flight -= 1
         self._connections.prepare_response(request, response)
+        if not response.prepared:
+            await write_response(request, response, self._response_memory, self._metrics)
         return response
 
     def _readiness_response(self) -> web.Response:
--- a/src/fuchsiatrack/routing/connectionpool.py
+++ b/src/fuchsiatrack/routing/connectionpool.py
@@ -30,6 +30,8 @@
 UNACKNOWLEDGED_MAX_MS = 5_000
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_PROBES = 3
+# Of each connection; the kernel doubles it.
+RECEIVE_BUFFER_BYTES = 65_536
 
 log = logging.getLogger(__name__)
 
@@ -172,6 +174,7 @@
     family, socket_type, protocol, _, _ = info
     created = socket.socket(family, socket_type, protocol)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.orders import BeginResult, OrderDeduplicator
 from fuchsiatrack.control.records import Attempt
 from fuchsiatrack.kernel.clock import Clock
@@ -119,6 +120,7 @@
     metrics: Metrics
     rng: random.Random
     body_idle_timeout: int
+    response_memory: ResponseMemory
 
 
 class Exchange:
@@ -253,7 +255,12 @@
     async def _relay(self, received: ResponseReceived) -> web.StreamResponse | SendFailure:
         try:
             return await relay(
-                self._request, received.response, self._request_id, max(self._time_left, 1)
+                self._request,
+                received.response,
+                self._request_id,
+                max(self._time_left, 1),
+                self._dependencies.response_memory,
+                self._dependencies.metrics,
             )
         except TruncatedResponse as error:
             self._dependencies.metrics.count("answers.truncated")
--- a/src/fuchsiatrack/routing/responses.py
+++ b/src/fuchsiatrack/routing/responses.py
@@ -7,12 +7,17 @@
 import aiohttp
 from aiohttp import web
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
+from fuchsiatrack.callers.responsewriter import BODILESS_STATUSES, ResponseWriter
+from fuchsiatrack.kernel.metrics import Metrics
 from fuchsiatrack.kernel.verdict import VERDICT_HEADER, Verdict
 from fuchsiatrack.routing import headers
 
 BUFFERED_RESPONSE_MAX_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
-BODILESS_STATUSES = frozenset((204, 304))
+# What a streamed response takes at most: in the kernel's receive buffer, in aiohttp's reader, and
+# in the transport of the caller.
+STREAMED_RESPONSE_BYTES = 512 * 1024
 
 
 class TruncatedResponse(Exception):
@@ -33,13 +38,18 @@
 
 
 async def relay(
-    request: web.Request, response: aiohttp.ClientResponse, request_id: str, timeout: int
+    request: web.Request,
+    response: aiohttp.ClientResponse,
+    request_id: str,
+    timeout: int,
+    memory: ResponseMemory,
+    metrics: Metrics,
 ) -> web.StreamResponse:
     """Return the response for the caller of *request*, copied from the server's *response*.
 
     A small response is read completely first.  A large one is streamed with back-pressure; if it
     breaks off, or is not finished within *timeout* milliseconds, the caller's connection is
-    aborted so that the caller sees that the response is incomplete.
+    aborted so that the caller sees that the response is incomplete.  *memory* counts it meanwhile.
 
     Raises TruncatedResponse.
     """
@@ -61,9 +71,9 @@
             )
             relayed.content_length = length
             relay_started = True
-            await relayed.prepare(request)
-            async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-                await relayed.write(chunk)
+            await _stream(
+                request, response, relayed, ResponseWriter(request.protocol, metrics), memory
+            )
             if protocol is not None and isinstance(protocol.exception(), OSError):
                 # aiohttp takes a reset for the end of such a response.
                 raise protocol.exception()
@@ -83,6 +93,25 @@
         raise
 
 
+async def _stream(
+    request: web.Request,
+    response: aiohttp.ClientResponse,
+    relayed: web.StreamResponse,
+    writer: ResponseWriter,
+    memory: ResponseMemory,
+) -> None:
+    """Write the body of *response* to *relayed* as its caller reads it."""
+    memory.add(writer, STREAMED_RESPONSE_BYTES)
+    try:
+        with writer.watch():
+            await relayed.prepare(request)
+            async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+                await relayed.write(chunk)
+                writer.record_progress()
+    finally:
+        memory.remove(writer)
+
+
 def _response_headers(response: aiohttp.ClientResponse, request_id: str) -> dict[str, str]:
     response_headers = {
         name: value
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,6 +9,7 @@
 import pytest
 from fakes import NodeClock, run_virtual
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.orders import BeginResult
 from fuchsiatrack.kernel.metrics import NullMetrics
 from fuchsiatrack.kernel.verdict import Verdict
@@ -91,6 +92,7 @@
             NullMetrics(),
             random.Random(1),
             1_000,
+            ResponseMemory(),
         )
         with pytest.raises(RequestError) as caught:
             await Exchange(request, "/x", admitted, "id", dependencies).run()
--- a/tests/test_hostile_callers_of_fuchsiatrackd.py
+++ b/tests/test_hostile_callers_of_fuchsiatrackd.py
@@ -30,6 +30,7 @@
 MAX_FDS = 1_000
 MEMORY_KB = MEMORY_MB * 1_000_000 // 1_024
 SETTINGS = {
+    "memory_mb": MEMORY_MB,
     "requests": {"max_daemons": 1},
     "timings": {"leave_notice": 300, "shutdown_grace": 1_000},
 }
--- a/tests/test_mixed_answers.py
+++ b/tests/test_mixed_answers.py
@@ -12,6 +12,8 @@
 import pytest
 from aiohttp import web
 
+from fuchsiatrack.callers.responsememory import ResponseMemory
+from fuchsiatrack.kernel.metrics import NullMetrics
 from fuchsiatrack.routing.connectionpool import (
     BackendConnectionPool,
     OutgoingRequest,
@@ -261,7 +263,9 @@
         if not isinstance(outcome, ResponseReceived):
             return web.Response(status=502)
         try:
-            return await relay(request, outcome.response, "asked", 10_000)
+            return await relay(
+                request, outcome.response, "asked", 10_000, ResponseMemory(), NullMetrics()
+            )
         except TruncatedResponse:
             return web.Response(status=502)
 
