Free the heads of connections that have ended

Crowds that sent heads over the limit took more memory than all heads may: each got its 431, and then its connection stayed for up to 30 s in which what still arrives is discarded. All that time the parser held the fields that it had read before the limit was reached, raw and decoded: about 230 KB for a connection of fuchsiatrackd, whose reads bring up to 128 KiB at once. No bound counted them, since a head that has been rejected isn't held any more.

OrderlyTransport tells when it begins to close, and CallerProtocol drops its parser then. No request is taken after that.

The new test sends such heads on as many connections as the daemon takes.

--- a/src/fuchsiatrack/callers/orderlyclose.py
+++ b/src/fuchsiatrack/callers/orderlyclose.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Callable
 
 from fuchsiatrack.callers.kernelstate import count_unacknowledged
 
@@ -25,12 +26,18 @@
     A socket that is closed while its peer still sends is reset, and the reset drops what the peer
     hasn't read.  Therefore `close` ends only the sending side, and discards what arrives until the
     caller has closed its side or is silent.  Everything else is that of the asyncio *transport*,
-    which passes events to *protocol*.
+    which passes events to *protocol*.  *on_close* is called when `close` begins.
     """
 
-    def __init__(self, transport: asyncio.Transport, protocol: asyncio.Protocol) -> None:
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        protocol: asyncio.Protocol,
+        on_close: Callable[[], None],
+    ) -> None:
         self._transport = transport
         self._protocol = protocol
+        self._on_close = on_close
         self._has_ended = False
         # Called for each response.
         self.write = transport.write
@@ -53,6 +60,7 @@
         if self.is_closing():
             return
         self._has_ended = True
+        self._on_close()
         _DiscardingProtocol(self._transport, self._protocol).start()
 
     def close_at_once(self) -> None:
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -87,6 +87,7 @@
         "_unread_at_timeout",
         "_has_large_buffer",
         "_framing",
+        "_auto_decompress",
     )
 
     def __init__(
@@ -103,7 +104,8 @@
             read_bufsize=READ_BUFFER_BYTES,
             **options,
         )
-        self._limit_queue(bool(options.get("auto_decompress", True)))
+        self._auto_decompress = bool(options.get("auto_decompress", True))
+        self._limit_queue()
         self._read_request_id = request_id
         self._budget = budget
         self._head_timeout = head_timeout
@@ -139,11 +141,14 @@
         self._make_request = self._request_factory
         self._request_factory = self._start_request
 
-    def _limit_queue(self, auto_decompress: bool) -> None:
+    def _limit_queue(self) -> None:
         """Let aiohttp queue fewer requests than it does by itself."""
         self._max_msg_queue_size = MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
-        self._parser = HttpRequestParser(
+        self._parser = self._create_parser()
+
+    def _create_parser(self) -> HttpRequestParser:
+        return HttpRequestParser(
             self,
             self._loop,
             READ_BUFFER_BYTES,
@@ -151,7 +156,7 @@
             max_field_size=self.max_field_size,
             max_headers=self.max_headers,
             payload_exception=RequestPayloadError,
-            auto_decompress=auto_decompress,
+            auto_decompress=self._auto_decompress,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
 
@@ -266,10 +271,15 @@
             transport.max_size = RECEIVE_BYTES
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         limit_receive_buffer(transport, SOCKET_BUFFER_BYTES)
-        self._caller_transport = OrderlyTransport(transport, self)
+        self._caller_transport = OrderlyTransport(transport, self, self._discard_parser)
         super().connection_made(self._caller_transport)
         self._budget.add(self)
 
+    def _discard_parser(self) -> None:
+        """Free what the parser holds of a request, none of which is taken any more."""
+        self._takes_requests = False
+        self._parser = self._create_parser()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._messages or self._current_request is not None or self._head_size:
             is_closed_here = bool(self._closed_for) or self._caller_transport.has_ended
--- a/tests/test_hostile_callers_of_fuchsiatrackd.py
+++ b/tests/test_hostile_callers_of_fuchsiatrackd.py
@@ -145,6 +145,12 @@
             await crowd.send(CROWD, lambda number: [head, *[FIELD] * 64])
             await crowd.check()
 
+    async def test_heads_over_the_limit_on_all_connections(self, tmp_path: pathlib.Path):
+        head = _partial_head("GET", "/footage/x")
+        async with run_crowd(tmp_path) as crowd:
+            await crowd.send(CONNECTION_CROWD, lambda number: [head, *[FIELD] * 64])
+            await crowd.check()
+
     async def test_heads_without_end(self, tmp_path: pathlib.Path):
         """Each stays below the limit of one head, and sends no more."""
         head = _partial_head("GET", "/footage/x")
