Bound the bodies that fuchsiatrackd streams

Callers that sent many chunked bodies at once, in chunks of two bytes, took 205,220 KB of 156,250 of fuchsiatrackd, and parsing them kept it busy for half a minute.

Cause: nothing counted the bodies that are streamed. Each holds what the kernel and the parser have received, about 100 bytes for each chunk, and what the server hasn't taken. Bodies of refused requests hold the same while they are discarded, since they are parsed to find their end; these weren't counted in either daemon. uvloop receives all that the kernel holds at once, 128 KiB.

- RequestMemory, which the gateway has, bounds the bodies of fuchsiatrackd too: a fifth of memory_mb, 512 KiB each at most.
Beyond it a request is refused as overloaded, not run.
Incomplete bodies give way, the slowest first, if they have been arriving for a second or are larger than the new one.
- The connection ends with the answer to a request whose large or chunked body hasn't arrived.
What still arrives is discarded without parsing, up to 64 MiB as before.
- Sockets of uvloop's transports have half of the buffer.

--- a/src/fuchsiatrack/callers/connections.py
+++ b/src/fuchsiatrack/callers/connections.py
@@ -75,10 +75,11 @@
     def prepare_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Let *response* end its connection if the daemon drains and no request is behind it.
 
-        What still arrives of the request's body is discarded.
+        What still arrives of the request's body is discarded, and the connection ends if that may
+        be much.
         """
-        request.protocol.discard_body()
-        if self._is_draining and not request.protocol.has_next:
+        must_end = request.protocol.discard_body(request.content_length)
+        if must_end or (self._is_draining and not request.protocol.has_next):
             response.force_close()
 
     async def close(self, timeout: int, end_requests: Callable[[], None]) -> None:
--- a/src/fuchsiatrack/callers/orderlyclose.py
+++ b/src/fuchsiatrack/callers/orderlyclose.py
@@ -14,7 +14,7 @@
 SILENCE_MAX_MS = 2_000
 # Longest time for which a caller that goes on sending keeps a connection that has ended.
 DISCARD_MAX_MS = 30_000
-# Most bytes that are discarded after the end of the daemon's side.
+# Most bytes that are discarded after the end of the daemon's side, by default.
 DISCARD_MAX_BYTES = 2**20
 
 log = logging.getLogger(__name__)
@@ -26,7 +26,8 @@
     A socket that is closed while its peer still sends is reset, and the reset drops what the peer
     hasn't read.  Therefore `close` ends only the sending side, and discards what arrives until the
     caller has closed its side or is silent.  Everything else is that of the asyncio *transport*,
-    which passes events to *protocol*.  *on_close* is called when `close` begins.
+    which passes events to *protocol*.  *on_close* is called when `close` begins.  At most
+    `discard_limit` bytes are discarded.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self._transport = transport
         self._protocol = protocol
         self._on_close = on_close
+        self.discard_limit = DISCARD_MAX_BYTES
         self._has_ended = False
         # Called for each response.
         self.write = transport.write
@@ -61,7 +63,7 @@
             return
         self._has_ended = True
         self._on_close()
-        _DiscardingProtocol(self._transport, self._protocol).start()
+        _DiscardingProtocol(self._transport, self._protocol, self.discard_limit).start()
 
     def close_at_once(self) -> None:
         """Close the connection after what was written; what arrives then isn't read."""
@@ -72,9 +74,12 @@
 class _DiscardingProtocol(asyncio.Protocol):
     """Discards what arrives on *transport*; the other events go to *protocol*."""
 
-    def __init__(self, transport: asyncio.Transport, protocol: asyncio.Protocol) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, protocol: asyncio.Protocol, discard_limit: int
+    ) -> None:
         self._transport = transport
         self._protocol = protocol
+        self._discard_limit = discard_limit
         self._loop = asyncio.get_running_loop()
         self._close_at = self._loop.time() + DISCARD_MAX_MS / 1_000
         self._received = 0
@@ -93,7 +98,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._received += len(data)
-        if self._received > DISCARD_MAX_BYTES:
+        if self._received > self._discard_limit:
             self._abort("caller goes on sending")
 
     def pause_writing(self) -> None:
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -18,6 +18,7 @@
     limit_receive_buffer,
 )
 from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, SILENCE_MAX_MS, OrderlyTransport
+from fuchsiatrack.callers.requestmemory import Arrival, BodySource
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
@@ -54,7 +55,7 @@
     """A request that is answered with an error before it has arrived."""
 
 
-class CallerProtocol(web.RequestHandler, BudgetedConnection):
+class CallerProtocol(web.RequestHandler, BudgetedConnection, BodySource):
     """Connection of one caller.
 
     It is closed once the head of a request is too large: aiohttp bounds each field and their
@@ -80,12 +81,14 @@
         "_head_check",
         "_head_since",
         "_body_at",
+        "_body_since",
         "_line_ends",
         "_held",
         "_queued",
         "_is_counted",
         "_unread_at_timeout",
         "_has_large_buffer",
+        "_socket_buffer",
         "_framing",
         "_auto_decompress",
     )
@@ -110,8 +113,10 @@
         self._budget = budget
         self._head_timeout = head_timeout
         self._head_check: asyncio.TimerHandle | None = None
-        # Since when a head has been incomplete, and when a part of the latest body arrived last.
+        # Since when a head has been incomplete, when the latest body began, and when a part of it
+        # arrived last.
         self._head_since = 0.0
+        self._body_since = 0.0
         self._body_at = 0.0
         # Bytes of line ends since the latest request.
         self._line_ends = 0
@@ -122,6 +127,7 @@
         # Bytes of chunk heads and trailers since a part of the body arrived.
         self._framing = 0
         self._has_large_buffer = False
+        self._socket_buffer = SOCKET_BUFFER_BYTES
         # What the caller hadn't read when the keepalive timeout ended last.
         self._unread_at_timeout = 0
         # Outlives `transport`, which aiohttp drops when it closes the connection.
@@ -201,6 +207,16 @@
         # Set at the end of each response.
         return self._next_keepalive_close_time - self._keepalive_timeout
 
+    @property
+    def arrival(self) -> Arrival | None:
+        is_current = self._current_request is not None and (
+            self._current_request.content is self._body
+        )
+        is_paused = self._reading_paused or self._buffer_paused
+        if not is_current or not self._is_reading_body or is_paused:
+            return None
+        return Arrival(self._loop.time() - self._body_since, self._body.total_bytes)
+
     @property
     def held_bytes(self) -> int:
         is_served = self._request_in_progress or self._messages or self._head_size
@@ -244,19 +260,30 @@
             self._has_large_buffer = True
             limit_receive_buffer(self._caller_transport, BODY_SOCKET_BUFFER_BYTES)
 
-    def discard_body(self) -> None:
-        """Discard what still arrives of the request's body, as long as its caller sends."""
+    def discard_body(self, length: int | None) -> bool:
+        """Discard what still arrives of the request's body, as long as its caller sends.
+
+        *length* is that of the body in bytes, None if unknown.  Return whether the connection must
+        end with the response: what arrives of a large body isn't parsed any more, as the parser
+        would hold more of it than what counts for a connection.
+        """
         if self._caller_transport is not None and self._has_large_buffer:
             self._has_large_buffer = False
-            limit_receive_buffer(self._caller_transport, SOCKET_BUFFER_BYTES)
+            limit_receive_buffer(self._caller_transport, self._socket_buffer)
         if not self._is_reading_body:
-            return
+            return False
+        if length is None or length > SOCKET_BUFFER_BYTES:
+            self.expect_no_body()
+            return True
         self._discarded = 0
         self._schedule_discard_check(self._body)
+        return False
 
     def expect_no_body(self) -> None:
         """Close the connection after the response, without waiting for the request's body."""
         self._lingering_time = 0.0
+        if self._caller_transport is not None:
+            self._caller_transport.discard_limit = DISCARD_BODY_MAX_BYTES
 
     def reject_partial_head(self) -> None:
         """Respond to a request whose head hasn't arrived, as not run, and take no other."""
@@ -266,11 +293,14 @@
     # asyncio protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # uvloop's transports have a fixed size of reads.
         if hasattr(transport, "max_size"):
             transport.max_size = RECEIVE_BYTES
+            self._socket_buffer = SOCKET_BUFFER_BYTES
+        else:
+            # uvloop's transports receive all that the kernel holds, which is twice this size.
+            self._socket_buffer = RECEIVE_BYTES // 2
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        limit_receive_buffer(transport, SOCKET_BUFFER_BYTES)
+        limit_receive_buffer(transport, self._socket_buffer)
         self._caller_transport = OrderlyTransport(transport, self, self._discard_parser)
         super().connection_made(self._caller_transport)
         self._budget.add(self)
@@ -310,6 +340,7 @@
         if self._request_count != requests_before:
             self._line_ends = 0
             _, self._body = self._messages[-1]
+            self._body_since = self._loop.time()
         if self._is_reading_body:
             self._body_at = self._loop.time()
         if not was_reading_body:
--- a/src/fuchsiatrack/daemon/context.py
+++ b/src/fuchsiatrack/daemon/context.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from fuchsiatrack.callers.requestmemory import RequestMemory
 from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.appendlog import AppendLog
 from fuchsiatrack.control.leadership import Leadership
@@ -36,6 +37,7 @@
     voter: Voter
     session: aiohttp.ClientSession
     rng: random.Random
+    request_memory: RequestMemory
     response_memory: ResponseMemory
 
     def create_replica(
--- a/src/fuchsiatrack/daemon/daemon.py
+++ b/src/fuchsiatrack/daemon/daemon.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 from reactivex import operators
 
+from fuchsiatrack.callers.requestmemory import RequestMemory
 from fuchsiatrack.callers.responsememory import ResponseMemory, body_limit
 from fuchsiatrack.control.leadership import Leadership
 from fuchsiatrack.control.publishvalidator import PublishValidator
@@ -38,6 +39,7 @@
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
 from fuchsiatrack.routing.exchange import ExchangeDependencies
 from fuchsiatrack.routing.limits import RequestLimiter
+from fuchsiatrack.routing.requestbody import STREAMED_BODY_BYTES
 
 CONFIG_STREAM = "config"
 CONFIG_SHARD = "config"
@@ -269,6 +271,7 @@
         settings.listen.peer_port,
     )
     platform, timings = settings.platform, settings.timings
+    max_bodies = body_limit(settings.memory_bytes)
     vm_list = registry.find("vm_list", platform.vm_list)(platform.vm_list_url, timings.log_timeout)
     return Context(
         settings=settings,
@@ -286,5 +289,6 @@
             )
         ),
         rng=random.Random(),
-        response_memory=ResponseMemory(max_total=body_limit(settings.memory_bytes)),
+        request_memory=RequestMemory(max_bodies, STREAMED_BODY_BYTES),
+        response_memory=ResponseMemory(max_total=max_bodies),
     )
--- a/src/fuchsiatrack/daemon/shard.py
+++ b/src/fuchsiatrack/daemon/shard.py
@@ -202,6 +202,7 @@
             context.metrics,
             context.rng,
             context.settings.requests.body_idle_timeout,
+            context.request_memory,
             context.response_memory,
         )
 
--- a/src/fuchsiatrack/gateway/forwarder.py
+++ b/src/fuchsiatrack/gateway/forwarder.py
@@ -171,8 +171,6 @@
         self._awaited_server: ServerEntry | None = None
         self._service: RoutedService | None = None
         self._body: RequestBody | None = None
-        # Bytes of the request memory.
-        self._reserved = 0
         self.outcome = Outcome()
 
     async def run(self) -> web.Response:
@@ -184,7 +182,7 @@
             response = self._failed_response or self._error_response(request_error)
         finally:
             self._put_back_retry_permit()
-            self._dependencies.request_memory.release(self._reserved)
+            self._dependencies.request_memory.release(self._request.protocol)
         self.outcome.status = response.status
         self.outcome.elapsed = self._clock.now() - self._started_at
         return response
@@ -275,11 +273,11 @@
         if length is not None and length > limit:
             raise RequestError(ErrorReason.TOO_LARGE)
         reserved = self._dependencies.request_memory.reserve(
-            length if length is not None or self._request.can_read_body else 0
+            self._request.protocol,
+            length if length is not None or self._request.can_read_body else 0,
         )
         if reserved is None:
             raise RequestError(ErrorReason.OVERLOADED, retry_after_ms=RETRY_AFTER_MS)
-        self._reserved = reserved
         if reserved > SOCKET_BUFFER_BYTES:
             self._request.protocol.expect_large_body()
         if self._expects_continue:
--- a/src/fuchsiatrack/routing/errors.py
+++ b/src/fuchsiatrack/routing/errors.py
@@ -59,7 +59,8 @@
     # The server's status is 5xx and another server may be tried, or it is 408, 421, 429 or 503,
     # which states that the request did not run, although it may have run.
     SERVER_ERROR = ("server-error", 502)
-    # The request would miss its deadline in the queue of `gateway` for the server.
+    # The request would miss its deadline in the queue of `gateway` for the server, or the bodies of
+    # other requests take all the memory for bodies.
     OVERLOADED = ("overloaded", 503)
     # The server turned a request away and named a time for which it wants no further one.
     SERVER_BACKOFF = ("server-backoff", 503)
--- a/src/fuchsiatrack/routing/exchange.py
+++ b/src/fuchsiatrack/routing/exchange.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from fuchsiatrack.callers.requestmemory import RequestMemory
 from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.orders import BeginResult, OrderDeduplicator
 from fuchsiatrack.control.records import Attempt
@@ -120,6 +121,7 @@
     metrics: Metrics
     rng: random.Random
     body_idle_timeout: int
+    request_memory: RequestMemory
     response_memory: ResponseMemory
 
 
@@ -155,7 +157,17 @@
         Raises RequestError if the request ends without one, and TruncatedResponse if it broke off
         after part of it may have reached the caller.
         """
-        await self._body.buffer_if_small()
+        memory, connection = self._dependencies.request_memory, self._request.protocol
+        length = self._request.content_length if self._request.can_read_body else 0
+        if memory.reserve(connection, length) is None:
+            raise RequestError(ErrorReason.OVERLOADED, retry_after_ms=1_000)
+        try:
+            await self._body.buffer_if_small()
+            return await self._serve()
+        finally:
+            memory.release(connection)
+
+    async def _serve(self) -> web.StreamResponse:
         target = await self._select()
         try:
             await self._begin_order(target)
--- a/src/fuchsiatrack/routing/requestbody.py
+++ b/src/fuchsiatrack/routing/requestbody.py
@@ -12,6 +12,9 @@
 
 BUFFERED_BODY_MAX_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
+# What a streamed body takes at most: in the kernel's receive buffer, in aiohttp's reader, and in
+# the transport of the server.
+STREAMED_BODY_BYTES = 512 * 1024
 
 
 class RequestBody:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,6 +9,7 @@
 import pytest
 from fakes import NodeClock, run_virtual
 
+from fuchsiatrack.callers.requestmemory import RequestMemory
 from fuchsiatrack.callers.responsememory import ResponseMemory
 from fuchsiatrack.control.orders import BeginResult
 from fuchsiatrack.kernel.metrics import NullMetrics
@@ -71,7 +72,7 @@
     async def run():
         clock, deduplicator = NodeClock(), UnresponsiveLogDeduplicator()
         request = types.SimpleNamespace(
-            method=method, headers={}, can_read_body=False, content_length=0
+            method=method, headers={}, can_read_body=False, content_length=0, protocol=None
         )
         caller = Caller("Caller", "crew", "0" * 64, ("poles",))
         admitted = AdmittedRequest(
@@ -92,6 +93,7 @@
             NullMetrics(),
             random.Random(1),
             1_000,
+            RequestMemory(0),
             ResponseMemory(),
         )
         with pytest.raises(RequestError) as caught:
--- a/tests/test_hostile_callers_of_fuchsiatrackd.py
+++ b/tests/test_hostile_callers_of_fuchsiatrackd.py
@@ -12,7 +12,7 @@
 import gzip
 import pathlib
 import resource
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import pytest
 
@@ -49,6 +49,8 @@
 SMALL_BODY_BYTES = 2**16
 # Chunks of two bytes.
 SMALL_CHUNKS = 40_000
+# Of the body of an ordinary request.
+ORDER_BYTES = 20_000
 LONG_ANSWER_BYTES = 2**20
 SHORT_ANSWER_BYTES = 60_000
 EMPTY_LINES_BYTES = 8 * 2**20
@@ -82,8 +84,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_crowd(folder: pathlib.Path) -> AsyncIterator[Crowd]:
-    """Yield a crowd without connections at a daemon with servers of two services."""
+async def run_crowd(
+    folder: pathlib.Path, request: Callable[[int], bytes] = lambda number: _head("GET", "/poles/x")
+) -> AsyncIterator[Crowd]:
+    """Yield a crowd without connections at a daemon with servers of two services.
+
+    *request* returns the ordinary request with the given number.
+    """
     deployment = Deployment(_objects(), 0, Network(OCTET), folder, SETTINGS)
     async with deployment, asyncio.timeout(3 * TIMEOUT_S):
         with _descriptor_limit(MAX_FDS):
@@ -100,7 +107,7 @@
             (deployment.network.daemon(1), CALLER_PORT),
             folder / "entry-1.log",
             lambda: process.poll() is None,
-            lambda number: _head("GET", "/poles/x", "Content-Length: 0"),
+            request,
             MEMORY_KB,
             MAX_FDS,
         )
@@ -205,6 +212,14 @@
             await crowd.send(CONNECTION_CROWD, lambda number: [_chunked_head(), b"1\r\nx\r\n"])
             await crowd.check()
 
+    async def test_orders_beside_bodies_that_go_on_for_long(self, tmp_path: pathlib.Path):
+        body = b"x" * ORDER_BYTES
+        head = _head("PUT", "/poles/x", f"Content-Length: {len(body)}")
+        async with run_crowd(tmp_path, lambda number: head + body) as crowd:
+            pieces = [_chunked_head(), b"1\r\nx\r\n"]
+            async with crowd.keep_sending(CROWD, lambda number: pieces, b"1\r\nx\r\n"):
+                await crowd.check()
+
     @pytest.mark.parametrize("path", ["/footage/x", "/unknown/x"], ids=["forwarded", "rejected"])
     async def test_trailers_without_end(self, path: str, tmp_path: pathlib.Path):
         trailer = b"T: " + b"x" * LARGE_FIELD_BYTES + b"\r\n"
