Let connections give way whose callers read nothing

A caller that asked for an answer and read none of it kept its connection's place for as long as the answer was being written: 30 s in the gateway, its deadline in fuchsiatrackd. A crowd of them on all connections kept every new caller out: the budget closes the new connection if all others are being served.

A connection whose transport has taken no more of a response for a second now counts as waiting since then, so that it may be closed for a new one, as idle and incomplete ones are. Callers that read are not affected unless connections run out.

--- a/src/fuchsiatrack/callers/connectionbudget.py
+++ b/src/fuchsiatrack/callers/connectionbudget.py
@@ -34,8 +34,8 @@
     def waits_since(self) -> float | None:
         """Since when it has been idle, or a head on it incomplete; None if the caller waits.
 
-        While a body is incomplete, when a part of it arrived last.  A time of the event loop, in
-        seconds.
+        While a body is incomplete, when a part of it arrived last; while its caller doesn't read a
+        response, since when.  A time of the event loop, in seconds.
         """
 
     @property
@@ -73,8 +73,9 @@
 class ConnectionBudget:
     """Decides which connections are closed once callers take too much.
 
-    With too many connections, those that have been idle or incomplete for longest are closed (with
-    a body, since a part of it arrived), and the new one if every other caller waits for a response.
+    With too many connections, those that have been idle, incomplete or unread for longest are
+    closed (with a body, since a part of it arrived), and the new one if every other caller waits
+    for a response.
     With too many bytes of heads, the connection that holds most is closed.
     """
 
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -19,6 +19,7 @@
 )
 from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, SILENCE_MAX_MS, OrderlyTransport
 from fuchsiatrack.callers.requestmemory import Arrival, BodySource
+from fuchsiatrack.callers.responsewriter import STALLED_S
 
 # Largest head of a request: all lines together.  Operators currently allow callers 16 KB.
 MAX_HEAD_BYTES = 65_536
@@ -91,6 +92,7 @@
         "_socket_buffer",
         "_framing",
         "_auto_decompress",
+        "_writing_paused_at",
     )
 
     def __init__(
@@ -126,6 +128,8 @@
         self._is_counted = False
         # Bytes of chunk heads and trailers since a part of the body arrived.
         self._framing = 0
+        # Since when the transport has taken no more of a response, while it takes none.
+        self._writing_paused_at = 0.0
         self._has_large_buffer = False
         self._socket_buffer = SOCKET_BUFFER_BYTES
         # What the caller hadn't read when the keepalive timeout ended last.
@@ -198,6 +202,8 @@
 
     @property
     def waits_since(self) -> float | None:
+        if self._paused and self._loop.time() - self._writing_paused_at > STALLED_S:
+            return self._writing_paused_at
         if self._is_reading_body:
             return self._body_at
         if self._request_in_progress or self._messages:
@@ -305,6 +311,10 @@
         super().connection_made(self._caller_transport)
         self._budget.add(self)
 
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._writing_paused_at = self._loop.time()
+
     def _discard_parser(self) -> None:
         """Free what the parser holds of a request, none of which is taken any more."""
         self._takes_requests = False
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 
@@ -18,6 +19,8 @@
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 20.0
+# More than the kernel takes for a caller that reads nothing.
+ANSWER_BYTES = 2**25
 
 
 class FakeConnection(BudgetedConnection):
@@ -101,6 +104,36 @@
         await connections.close(1_000, lambda: None)
 
 
+class TestAnswers:
+    """Answers that callers don't read hold no place for ever."""
+
+    async def test_caller_that_reads_nothing_gives_way(self):
+        async def handle(request: web.BaseRequest) -> web.Response:
+            return web.Response(body=bytes(ANSWER_BYTES))
+
+        port = free_port()
+        connections = CallerConnections(
+            handle, lambda: 75.0, lambda headers: "", _budget(connections=1)
+        )
+        await connections.open(HOST, port)
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        async with asyncio.timeout(TIMEOUT_S):
+            _, slow = await asyncio.open_connection(HOST, port, limit=1)
+            slow.write(request)
+            head = b""
+            while not head:
+                # Refused until the other one has read nothing for long.
+                reader, writer = await asyncio.open_connection(HOST, port)
+                with contextlib.suppress(ConnectionError):
+                    writer.write(request)
+                    head = await reader.read(len(b"HTTP/1.1 200"))
+                writer.transport.abort()
+                await asyncio.sleep(0.1)
+            assert head == b"HTTP/1.1 200"
+        slow.transport.abort()
+        await connections.close(1_000, lambda: None)
+
+
 class TestHeads:
     """Crowds of large heads."""
 
