--- a/src/fuchsiatrack/callers/connections.py
+++ b/src/fuchsiatrack/callers/connections.py
@@ -78,7 +78,7 @@
         What still arrives of the request's body is discarded, and the connection ends if that may
         be much.
         """
-        must_end = request.protocol.discard_body(request.content_length)
+        must_end = request.protocol.discard_body(request)
         if must_end or (self._is_draining and not request.protocol.has_next):
             response.force_close()
 
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -266,23 +266,23 @@
             self._has_large_buffer = True
             limit_receive_buffer(self._caller_transport, BODY_SOCKET_BUFFER_BYTES)
 
-    def discard_body(self, length: int | None) -> bool:
-        """Discard what still arrives of the request's body, as long as its caller sends.
+    def discard_body(self, request: web.BaseRequest) -> bool:
+        """Discard what still arrives of the body of *request*, as long as its caller sends.
 
-        *length* is that of the body in bytes, None if unknown.  Return whether the connection must
-        end with the response: what arrives of a large body isn't parsed any more, as the parser
-        would hold more of it than what counts for a connection.
+        Return whether the connection must end with the response: what arrives of a large body
+        isn't parsed any more, as the parser would hold more of it than what counts for a
+        connection.
         """
         if self._caller_transport is not None and self._has_large_buffer:
             self._has_large_buffer = False
             limit_receive_buffer(self._caller_transport, self._socket_buffer)
-        if not self._is_reading_body:
+        if request.content.is_eof():
             return False
-        if length is None or length > SOCKET_BUFFER_BYTES:
+        if request.content_length is None or request.content_length > SOCKET_BUFFER_BYTES:
             self.expect_no_body()
             return True
         self._discarded = 0
-        self._schedule_discard_check(self._body)
+        self._schedule_discard_check(request.content)
         return False
 
     def expect_no_body(self) -> None:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -108,6 +108,18 @@
 class TestDiscardedBodies:
     """The rest of a body is discarded after its response, but not for ever."""
 
+    async def test_body_of_the_next_request_is_kept(
+        self, connections: CallerConnections, unused_tcp_port: int
+    ):
+        """Guards against a response that ends the connection for a body that isn't its own."""
+        async with _connect(unused_tcp_port) as (reader, writer):
+            fields = b" / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\n"
+            chunked = b"POST" + fields + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+            writer.write(b"GET" + fields + b"\r\n" + chunked)
+            assert await read_status(reader) == 200
+            writer.write(b"0\r\n\r\n")
+            assert await read_status(reader) == 200
+
     async def test_caller_that_stops_sending_is_closed(
         self, connections: CallerConnections, unused_tcp_port: int, monkeypatch
     ):
