Keep connections after an early answer to a body with a length

What the parser holds of a body with a length is small. Only chunked bodies end their connection now, whose chunks cost far more than their bytes. The test passes again, with the others of its class and of TestDiscardedBodies (9 passed).

--- a/src/fuchsiatrack/callers/connections.py
+++ b/src/fuchsiatrack/callers/connections.py
@@ -75,8 +75,8 @@
     def prepare_response(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Let *response* end its connection if the daemon drains and no request is behind it.
 
-        What still arrives of the request's body is discarded, and the connection ends if that may
-        be much.
+        What still arrives of the request's body is discarded, and the connection ends if the body
+        is chunked.
         """
         must_end = request.protocol.discard_body(request)
         if must_end or (self._is_draining and not request.protocol.has_next):
--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -269,7 +269,7 @@
     def discard_body(self, request: web.BaseRequest) -> bool:
         """Discard what still arrives of the body of *request*, as long as its caller sends.
 
-        Return whether the connection must end with the response: what arrives of a large body
+        Return whether the connection must end with the response: what arrives of a chunked body
         isn't parsed any more, as the parser would hold more of it than what counts for a
         connection.
         """
@@ -278,7 +278,7 @@
             limit_receive_buffer(self._caller_transport, self._socket_buffer)
         if request.content.is_eof():
             return False
-        if request.content_length is None or request.content_length > SOCKET_BUFFER_BYTES:
+        if request.content_length is None:
             self.expect_no_body()
             return True
         self._discarded = 0
