--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -28,6 +28,8 @@
 # More connections than the daemon has descriptors.
 CONNECTION_CROWD = 600
 LARGE_HEAD_BYTES = 60_000
+# Fields of one head.
+FIELDS = 120
 LARGE_BODY_BYTES = 3_900_000
 # Chunks of two bytes.
 SMALL_CHUNKS = 40_000
@@ -133,6 +135,18 @@
             )
             await crowd.check()
 
+    async def test_small_fields_behind_a_request_that_waits(self, tmp_path: pathlib.Path):
+        head = _partial_head(0) + b"".join(b"%d:\r\n" % item for item in range(FIELDS)) + b"\r\n"
+        async with run_crowd(tmp_path) as crowd:
+            await crowd.send(
+                CROWD,
+                lambda number: [
+                    request_head("/slow/", f"slow-{number}", deadline_ms=20_000),
+                    head * 64,
+                ],
+            )
+            await crowd.check()
+
     async def test_empty_lines_without_end(self, tmp_path: pathlib.Path):
         lines = b"\r\n" * 32_768
         async with run_crowd(tmp_path) as crowd:
--- a/tests/test_hostile_callers_of_fuchsiatrackd.py
+++ b/tests/test_hostile_callers_of_fuchsiatrackd.py
@@ -44,6 +44,8 @@
 # Below the limit of one field, and of one head.
 LARGE_FIELD_BYTES = 15_000
 FIELDS = 4
+# Fields of one head.
+SMALL_FIELDS = 120
 # Of a body that stops short of its end.
 LARGE_BODY_BYTES = 2**20
 SMALL_BODY_BYTES = 2**16
@@ -172,6 +174,14 @@
             await crowd.send(CROWD, lambda number: [first, *[behind] * 32])
             await crowd.check()
 
+    async def test_small_fields_behind_a_request_that_waits(self, tmp_path: pathlib.Path):
+        first = _head("GET", "/footage/x?work_ms=10000")
+        fields = (f"{item}:" for item in range(SMALL_FIELDS))
+        behind = _head("GET", "/footage/x", *fields)
+        async with run_crowd(tmp_path) as crowd:
+            await crowd.send(CROWD, lambda number: [first, behind * 64])
+            await crowd.check()
+
     async def test_empty_lines_without_end(self, tmp_path: pathlib.Path):
         lines = b"\r\n" * 32_768
         async with run_crowd(tmp_path) as crowd:
