Play crowds that open their connections anew, small chunks without end, and malformed bytes

What callers see: while crowds send as fast as the daemon reads, and connect again once they have been answered or closed, the gateway daemon grows beyond its machine's memory, and fuchsiatrackd answers nobody. The crowds so far kept one connection each, so that neither showed.

Crowd and bounds are fixed by this commit, before any change of the product: memory, descriptors and the guards of the other crowds, in the settings that they have.

A first trial of the small chunks wrote without waiting, so that the test process took 22.9 GB and was ended by the kernel; the crowds wait for the daemon to read.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -132,6 +132,46 @@
                     return
             writer.write(part)
 
+    @contextlib.asynccontextmanager
+    async def keep_streaming(
+        self,
+        count: int,
+        head: Callable[[int], bytes],
+        part: bytes,
+        lifetime_s: float | None = None,
+    ) -> AsyncIterator[None]:
+        """Keep *count* connections on which *part* follows the head as fast as the daemon reads.
+
+        Each is opened anew once the daemon has responded on it, or closed it, or after
+        *lifetime_s*.
+        """
+        streams = [
+            asyncio.create_task(self._keep_streaming(head(number), part, lifetime_s))
+            for number in range(count)
+        ]
+        try:
+            await asyncio.sleep(SETTLE_S)
+            yield
+        finally:
+            for stream in streams:
+                stream.cancel()
+            await asyncio.gather(*streams, return_exceptions=True)
+
+    async def _keep_streaming(self, head: bytes, part: bytes, lifetime_s: float | None) -> None:
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                reader, writer = await asyncio.open_connection(*self._target.address, limit=1_024)
+                writer.write(head)
+                stream = asyncio.create_task(_stream(writer, part))
+                try:
+                    async with asyncio.timeout(lifetime_s):
+                        await reader.read(1)
+                finally:
+                    stream.cancel()
+                    await asyncio.gather(stream, return_exceptions=True)
+                    writer.transport.abort()
+            await asyncio.sleep(0)
+
     async def check(self) -> None:
         """Check what must hold while the crowd stays, and after it has left."""
         await self._check_ordinary_request()
@@ -173,3 +213,9 @@
         """Let all callers of the crowd leave."""
         for _, writer in self.connections:
             writer.transport.abort()
+
+
+async def _stream(writer: asyncio.StreamWriter, part: bytes) -> None:
+    while True:
+        writer.write(part)
+        await writer.drain()
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -40,6 +40,8 @@
 # Trailer fields after a chunked body, each as large as the largest head.
 TRAILERS = 120
 EMPTY_LINES_BYTES = 8 * 2**20
+# Neither a head nor a chunk.
+MALFORMED = b"x" * 2**16
 ROUTES = [
     route("uploads", "/uploads/", "upload", "vault", Timeout="20000ms"),
     route("long", "/long/", "safe", "archive", Timeout="20000ms"),
@@ -159,6 +161,23 @@
                         await reader.read()
             await crowd.check()
 
+    async def test_malformed_heads(self, tmp_path: pathlib.Path):
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: b"", MALFORMED):
+                await crowd.check()
+
+    @pytest.mark.parametrize("method", ["CONNECT", "GET"], ids=["connect", "websocket"])
+    async def test_tunnels(self, method: str, tmp_path: pathlib.Path):
+        """Callers send bytes of another protocol behind a request to switch to it."""
+        target = f"{HOST}:80" if method == "CONNECT" else "/slow/"
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: tunnel\r\n"
+            "Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+        ).encode()
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: head, MALFORMED):
+                await crowd.check()
+
 
 class TestBodies:
     """Chunked bodies at once that stop just short of their end, and stay open."""
@@ -175,6 +194,24 @@
             await crowd.send(CROWD, lambda number: [_chunked_head(number), chunks, b"0\r\n"])
             await crowd.check()
 
+    @pytest.mark.parametrize("lifetime_s", [None, 0.05], ids=["stay", "leave"])
+    async def test_large_chunks_without_end(self, lifetime_s: float | None, tmp_path: pathlib.Path):
+        chunk = b"%x\r\n%b\r\n" % (2**18, b"x" * 2**18)
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, _chunked_head, chunk, lifetime_s):
+                await crowd.check()
+
+    async def test_very_small_chunks_without_end(self, tmp_path: pathlib.Path):
+        chunks = b"2\r\nxx\r\n" * SMALL_CHUNKS
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, _chunked_head, chunks):
+                await crowd.check()
+
+    async def test_malformed_chunks(self, tmp_path: pathlib.Path):
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, _chunked_head, MALFORMED):
+                await crowd.check()
+
     @pytest.mark.parametrize("path", ["/uploads/", "/unknown/"], ids=["forwarded", "rejected"])
     async def test_trailers_without_end(self, path: str, tmp_path: pathlib.Path):
         trailer = b"T: " + b"x" * LARGE_HEAD_BYTES + b"\r\n"
--- a/tests/test_hostile_callers_of_fuchsiatrackd.py
+++ b/tests/test_hostile_callers_of_fuchsiatrackd.py
@@ -58,6 +58,8 @@
 EMPTY_LINES_BYTES = 8 * 2**20
 TRAILERS = 120
 DECOMPRESSED_BYTES = 32 * 2**20
+# Neither a head nor a chunk.
+MALFORMED = b"x" * 2**16
 FIELD = b"A: " + b"x" * LARGE_FIELD_BYTES + b"\r\n"
 
 
@@ -194,6 +196,20 @@
                         await reader.read()
             await crowd.check()
 
+    async def test_malformed_heads(self, tmp_path: pathlib.Path):
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: b"", MALFORMED):
+                await crowd.check()
+
+    @pytest.mark.parametrize("method", ["CONNECT", "GET"], ids=["connect", "websocket"])
+    async def test_tunnels(self, method: str, tmp_path: pathlib.Path):
+        """Callers send bytes of another protocol behind a request to switch to it."""
+        target = "entry:80" if method == "CONNECT" else "/footage/x?work_ms=10000"
+        head = _head(method, target, "Connection: Upgrade", "Upgrade: websocket")
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: head, MALFORMED):
+                await crowd.check()
+
 
 class TestBodies:
     """Bodies at once that stop just short of their end, and stay open."""
@@ -210,6 +226,26 @@
             await crowd.send(CROWD, lambda number: [_chunked_head(), chunks, b"0\r\n"])
             await crowd.check()
 
+    @pytest.mark.parametrize("lifetime_s", [None, 0.05], ids=["stay", "leave"])
+    async def test_large_chunks_without_end(self, lifetime_s: float | None, tmp_path: pathlib.Path):
+        chunk = b"%x\r\n%b\r\n" % (2**18, b"x" * 2**18)
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(
+                CROWD, lambda number: _chunked_head(), chunk, lifetime_s
+            ):
+                await crowd.check()
+
+    async def test_very_small_chunks_without_end(self, tmp_path: pathlib.Path):
+        chunks = b"2\r\nxx\r\n" * SMALL_CHUNKS
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: _chunked_head(), chunks):
+                await crowd.check()
+
+    async def test_malformed_chunks(self, tmp_path: pathlib.Path):
+        async with run_crowd(tmp_path) as crowd:
+            async with crowd.keep_streaming(CROWD, lambda number: _chunked_head(), MALFORMED):
+                await crowd.check()
+
     async def test_bodies_with_a_length(self, tmp_path: pathlib.Path):
         head = _head("PUT", "/footage/x", f"Content-Length: {SMALL_BODY_BYTES}")
         async with run_crowd(tmp_path) as crowd:
