Free callers' connections when they end, not at a garbage collection

What callers saw: crowds that connect again after each answer let the gateway daemon grow to 2.5 times its machine's memory, which ends it.

Cause: an ended connection stayed with its body, the parser's rest and the error of a malformed request (which repeats what arrived) until a garbage collection, as the protocol referred to the body, and tracebacks to the frames of the protocol. A trace of the small chunks showed 1,709 protocols for some 230 open connections. The 400 to a malformed request sent its bytes back, and the log repeated them.

Now the protocol drops body and requests once nothing serves them, errors keep neither traceback nor input, and the error of a cancelled task no longer refers to the task.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -46,6 +46,8 @@
 HEAD_TIMEOUT_RATIO = 1.25
 # A head whose rest has arrived, but hasn't been read, gets this time again.
 HEAD_RECHECK_S = 1.0
+# Of what is wrong with a malformed request, in logs and in its response.
+MAX_ERROR_CHARS = 200
 # Most bytes of a body that are discarded after its response.
 DISCARD_BODY_MAX_BYTES = 2**26
 
@@ -335,7 +337,10 @@
         for check in (self._discard_check, self._head_check):
             if check is not None:
                 check.cancel()
+        handler = self._task_handler
         super().connection_lost(exc)
+        if handler is None or handler.done():
+            self._free_requests()
 
     def data_received(self, data: bytes) -> None:
         if not self._takes_requests:
@@ -349,7 +354,9 @@
             self._count_framing(0 if body.is_eof() or body.total_bytes > body_size else len(data))
         if self._request_count != requests_before:
             self._line_ends = 0
-            _, self._body = self._messages[-1]
+            message, self._body = self._messages[-1]
+            if isinstance(message, _ErrInfo):
+                self._messages[-1] = _without_input(message), self._body
             self._body_since = self._loop.time()
         if self._is_reading_body:
             self._body_at = self._loop.time()
@@ -469,8 +476,37 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _free_requests(self) -> None:
+        """Drop what refers to this connection, which would stay until a garbage collection."""
+        self._free_body()
+        self._current_request = None
+        self._messages.clear()
+
+    def _free_body(self) -> None:
+        body, self._body = self._body, None
+        if body is not None:
+            # Replaces an error whose traceback refers to the body.
+            body.set_exception(ConnectionResetError("connection ended"))
+
     # aiohttp's hooks
 
+    async def start(self) -> None:
+        try:
+            await super().start()
+        except asyncio.CancelledError as error:
+            # The task holds the error, whose traceback would refer to the task.
+            raise error.with_traceback(None) from None
+        finally:
+            # Nobody reads a body any more, though it may still arrive and be discarded.
+            self._free_body()
+            if self._caller_transport is None:
+                self._free_requests()
+
+    def _make_error_handler(
+        self, err_info: _ErrInfo
+    ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+        return super()._make_error_handler(_without_input(err_info))
+
     def _start_request(self, *arguments: object) -> web.BaseRequest:
         """Create a request, which is in progress from now on.
 
@@ -522,6 +558,13 @@
         return response
 
 
+def _without_input(error: _ErrInfo) -> _ErrInfo:
+    """Return *error* without what the caller has sent, which its message and traceback hold."""
+    error.exc.__traceback__ = None
+    message = error.message.partition("\n")[0][:MAX_ERROR_CHARS]
+    return _ErrInfo(error.status, RejectedRequest(message), message)
+
+
 class CallerProtocolServer(web.Server):
     """Creates the protocols of callers' connections.
 
