Drop what callers send in a protocol that isn't spoken

What callers saw: a crowd that sends CONNECT, or asks for websocket, and goes on in that protocol let the gateway daemon grow beyond its machine's memory.

Cause: aiohttp keeps what follows such a request, up to two reads of 64 KB a connection, which no bound counts, and parses it as requests once the response has been written. The error of that parsing kept it again.

The router switches to no other protocol. Bytes behind such a request are now dropped, and its response ends the connection (Connection: close). A request for websocket whose caller waits for the response is served as before, and keeps its connection.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -95,6 +95,7 @@
         "_framing",
         "_auto_decompress",
         "_writing_paused_at",
+        "_has_switched",
     )
 
     def __init__(
@@ -147,6 +148,8 @@
         # Why the daemon ends the connection.
         self._closed_for = ""
         self._takes_requests = True
+        # Whether the caller has gone on in another protocol.
+        self._has_switched = False
         # Of the body whose response is being written or has been.
         self._discarded = 0
         self._discard_check: asyncio.TimerHandle | None = None
@@ -271,16 +274,17 @@
     def discard_body(self, request: web.BaseRequest) -> bool:
         """Discard what still arrives of the body of *request*, as long as its caller sends.
 
-        Return whether the connection must end with the response: what arrives of a chunked body
-        isn't parsed any more, as the parser would hold more of it than what counts for a
-        connection.
+        Return whether the connection must end with the response: what arrives of a chunked body,
+        or of another protocol, isn't parsed any more, as the parser would hold more of it than what
+        counts for a connection.
         """
         if self._caller_transport is not None and self._has_large_buffer:
             self._has_large_buffer = False
             limit_receive_buffer(self._caller_transport, self._socket_buffer)
-        if request.content.is_eof():
+        is_last = self._has_switched and not self._messages
+        if request.content.is_eof() and not is_last:
             return False
-        if request.content_length is None:
+        if is_last or request.content_length is None:
             self.expect_no_body()
             return True
         self._discarded = 0
@@ -350,6 +354,11 @@
         requests_before = self._request_count
         body, body_size = self._body, self._body.total_bytes if was_reading_body else 0
         super().data_received(data)
+        if self._message_tail:
+            # Belongs to another protocol, and none is switched to.
+            self._message_tail = b""
+            self._takes_requests = False
+            self._has_switched = True
         if was_reading_body:
             self._count_framing(0 if body.is_eof() or body.total_bytes > body_size else len(data))
         if self._request_count != requests_before:
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -96,6 +96,20 @@
             await asyncio.sleep(0.1)
             assert _count_protocols() == before
 
+    @pytest.mark.parametrize("body", [b"", b"xx"], ids=["no-body", "body"])
+    async def test_connection_ends_whose_caller_goes_on_in_another_protocol(
+        self, body: bytes, connections: CallerConnections, unused_tcp_port: int
+    ):
+        """Guards against bytes of another protocol that are kept, or parsed as requests."""
+        reader, writer = await asyncio.open_connection(HOST, unused_tcp_port)
+        writer.write(_head("POST", "/", f"Content-Length: {len(body)}", SWITCH) + body + MALFORMED)
+        async with asyncio.timeout(TIMEOUT_S):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert await reader.read() == b""
+        writer.transport.abort()
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert b"\r\nConnection: close\r\n" in head
+
     async def test_response_to_a_malformed_request_repeats_nothing_of_it(
         self, connections: CallerConnections, unused_tcp_port: int
     ):
