Hold less of bodies that haven't been admitted

What callers saw: a crowd that sends large chunks without end, leaves and comes again held the gateway daemon above its machine's memory.

Cause: the kernel took 64 KB of each connection (up to twice that by its own count), and the daemon read 64 KB at once, before the body's memory was reserved or the request rejected. No bound counts that but the share of 32 KB that each connection has: 351 open connections held 31.8 MB in the kernel alone.

The kernel's buffer and one read are now 32 KB, the connection's share, for both daemons (uvloop's sockets had that already). A body whose memory is reserved gets the buffer of 512 KB as before, now above 32 KB instead of 64.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -35,10 +35,10 @@
 MAX_QUEUED_REQUESTS = 16
 # Received at once, and the share of a body that is buffered until it is read: at most twice this
 # size, in at most a sixteenth as many chunks.
-RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 32_768
 READ_BUFFER_BYTES = 16_384
 # What the kernel buffers of each connection, and of one whose large body has its memory reserved.
-SOCKET_BUFFER_BYTES = 65_536
+SOCKET_BUFFER_BYTES = 32_768
 BODY_SOCKET_BUFFER_BYTES = 524_288
 # Responses that have left for the transport up to this size count as sent.
 WRITE_BUFFER_BYTES = 16_384
@@ -91,7 +91,6 @@
         "_is_counted",
         "_unread_at_timeout",
         "_has_large_buffer",
-        "_socket_buffer",
         "_framing",
         "_auto_decompress",
         "_writing_paused_at",
@@ -134,7 +133,6 @@
         # Since when the transport has taken no more of a response, while it takes none.
         self._writing_paused_at = 0.0
         self._has_large_buffer = False
-        self._socket_buffer = SOCKET_BUFFER_BYTES
         # What the caller hadn't read when the keepalive timeout ended last.
         self._unread_at_timeout = 0
         # Outlives `transport`, which aiohttp drops when it closes the connection.
@@ -280,7 +278,7 @@
         """
         if self._caller_transport is not None and self._has_large_buffer:
             self._has_large_buffer = False
-            limit_receive_buffer(self._caller_transport, self._socket_buffer)
+            limit_receive_buffer(self._caller_transport, SOCKET_BUFFER_BYTES)
         is_last = self._has_switched and not self._messages
         if request.content.is_eof() and not is_last:
             return False
@@ -306,13 +304,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         if hasattr(transport, "max_size"):
+            # uvloop's transports receive all that the kernel holds.
             transport.max_size = RECEIVE_BYTES
-            self._socket_buffer = SOCKET_BUFFER_BYTES
-        else:
-            # uvloop's transports receive all that the kernel holds, which is twice this size.
-            self._socket_buffer = RECEIVE_BYTES // 2
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
-        limit_receive_buffer(transport, self._socket_buffer)
+        limit_receive_buffer(transport, SOCKET_BUFFER_BYTES)
         self._caller_transport = OrderlyTransport(transport, self, self._discard_parser)
         super().connection_made(self._caller_transport)
         self._budget.add(self)
