Reject a request whose chunked body is malformed when that is known

What callers saw: a request whose chunked body went on with bytes that are no chunk was answered only after the wait for the rest of its body (10 s, or the deadline), while each further read of such bytes queued one more rejection on the connection, and reading stopped after 16.

Cause: aiohttp's parser drops the body on such an error without telling its reader. Besides, the framing of a body was counted before the requests behind it were taken, and counting may close the connection: its queue was empty then, and data_received failed (IndexError).

Now the body's reader gets the error at once, and the connection takes no more. The request ends as malformed-body: 400 if nothing was sent, else as what may have run (502 at the gateway). Framing is counted last. A body's failure is no longer kept as an exception, whose traceback refers to the body, so that it is freed when its connection ends. A whole body isn't affected by what follows it.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -354,14 +354,19 @@
             self._message_tail = b""
             self._takes_requests = False
             self._has_switched = True
-        if was_reading_body:
-            self._count_framing(0 if body.is_eof() or body.total_bytes > body_size else len(data))
         if self._request_count != requests_before:
             self._line_ends = 0
             message, self._body = self._messages[-1]
             if isinstance(message, _ErrInfo):
+                if was_reading_body and not body.is_eof():
+                    self._reject_body(body, _without_input(message))
+                    return
                 self._messages[-1] = _without_input(message), self._body
             self._body_since = self._loop.time()
+        if was_reading_body:
+            self._count_framing(0 if body.is_eof() or body.total_bytes > body_size else len(data))
+            if not self._takes_requests:
+                return
         if self._is_reading_body:
             self._body_at = self._loop.time()
         if not was_reading_body:
@@ -381,6 +386,14 @@
         else:
             self._await_head()
 
+    def _reject_body(self, body: StreamReader, error: _ErrInfo) -> None:
+        """Let the request that reads *body* fail, and take no other."""
+        log.warning("malformed body", extra={"why": error.message})
+        self._takes_requests = False
+        self._messages.pop()
+        self._body = body
+        body.set_exception(RequestPayloadError(error.message))
+
     def _size_of_heads(self, data: bytes, requests_before: int) -> int:
         """Return how much of *data* belongs to heads, not counting what may be of bodies."""
         if self._request_count == requests_before or self._body is EMPTY_PAYLOAD:
--- a/src/fuchsiatrack/routing/errors.py
+++ b/src/fuchsiatrack/routing/errors.py
@@ -20,6 +20,8 @@
     # In `fuchsiatrackd` also for a key that is too long.
     NO_KEY = ("no-key", 400)
     BAD_HEADER = ("bad-header", 400)
+    # The body is not in the chunks that its head announces.
+    BAD_BODY = ("malformed-body", 400)
     TOO_LARGE = ("too-large", 413)
     RATE_LIMIT = ("rate-limit", 429)
     IN_FLIGHT_LIMIT = ("in-flight-limit", 429)
--- a/src/fuchsiatrack/routing/requestbody.py
+++ b/src/fuchsiatrack/routing/requestbody.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
 
 from fuchsiatrack.kernel.verdict import Verdict
 from fuchsiatrack.routing.errors import ErrorReason, RequestError
@@ -21,8 +22,7 @@
     """The body of one caller's request.
 
     *max_length* is in bytes.  *idle_timeout* is the longest wait for the next bytes from the
-    caller, in milliseconds.  `started` is whether reading has begun; `failure` is the error that
-    ended it, or None.
+    caller, in milliseconds.  `started` is whether reading has begun.
     """
 
     def __init__(self, request: web.Request, max_length: int, idle_timeout: int) -> None:
@@ -31,7 +31,15 @@
         self._idle_timeout = idle_timeout
         self._buffered: bytes | None = None
         self.started = False
-        self.failure: RequestError | None = None
+        self._failure: tuple[ErrorReason, Verdict] | None = None
+
+    @property
+    def failure(self) -> RequestError | None:
+        """The error that ended the reading, or None; a new one each time.
+
+        The traceback of one that were kept would refer to this body.
+        """
+        return RequestError(*self._failure) if self._failure is not None else None
 
     @property
     def can_resend(self) -> bool:
@@ -56,6 +64,8 @@
         length = self._request.content_length
         if not self._request.can_read_body:
             self._buffered = b""
+        elif isinstance(self._request.content.exception(), RequestPayloadError):
+            raise self._record_failure(ErrorReason.BAD_BODY, Verdict.NOT_RUN)
         elif length is not None and length <= BUFFERED_BODY_MAX_BYTES:
             chunks = [chunk async for chunk in self._read(Verdict.NOT_RUN)]
             self._buffered = b"".join(chunks)
@@ -79,6 +89,8 @@
                     chunk = await self._request.content.read(CHUNK_BYTES)
             except TimeoutError:
                 raise self._record_failure(ErrorReason.SLOW_CALLER, verdict) from None
+            except RequestPayloadError:
+                raise self._record_failure(ErrorReason.BAD_BODY, verdict) from None
             if not chunk:
                 return
             received += len(chunk)
@@ -87,5 +99,5 @@
             yield chunk
 
     def _record_failure(self, reason: ErrorReason, verdict: Verdict) -> RequestError:
-        self.failure = RequestError(reason, verdict)
-        return self.failure
+        self._failure = reason, verdict
+        return RequestError(reason, verdict)
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -9,6 +9,7 @@
 
 import pytest
 from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
 
 from fuchsiatrack.callers.connections import CallerConnections
 from fuchsiatrack.callers.protocol import CallerProtocol
@@ -45,9 +46,12 @@
     """Yield a listener that reads bodies before it answers, except at `EARLY`."""
 
     async def handle(request: web.BaseRequest) -> web.Response:
-        while request.path != EARLY and await request.content.readany():
-            pass
         response = web.Response()
+        try:
+            while request.path != EARLY and await request.content.readany():
+                pass
+        except RequestPayloadError:
+            response.set_status(400)
         opened.prepare_response(request, response)
         return response
 
