Bound the time that the parsing of chunked bodies takes

Cause: a chunk of two bytes takes as long to parse as a large one, and aiohttp's reader, asked for 64 KB, parses on until it has them: 32,768 chunks without a pause of the event loop, for each of some 97 bodies in turn. A sampled profile shows the main thread there (read, _read_nowait_chunk, resume_reading, data_received) for nearly all of the time.

ParsingBudget lets chunked bodies be parsed for half of the time, 5 ms at once, all connections together. What exceeds it stays as it arrived, its connection isn't read, and bodies are taken in the order in which they came. Heads, and bodies with a length, never wait. For that a chunked body that arrives with its head is parsed on its own. The daemon also holds less, as what waits isn't in chunks yet.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -18,6 +18,7 @@
     limit_receive_buffer,
 )
 from fuchsiatrack.callers.orderlyclose import DISCARD_MAX_MS, SILENCE_MAX_MS, OrderlyTransport
+from fuchsiatrack.callers.parsingbudget import ParsingBudget
 from fuchsiatrack.callers.requestmemory import Arrival, BodySource
 from fuchsiatrack.callers.responsewriter import STALLED_S
 
@@ -65,7 +66,8 @@
     number, but not their sum.  A connection that ends with a request unanswered is logged, with the
     side that ended it and the ids of its requests, which *request_id* reads from their headers.
 
-    *budget* may close it for the others.  A head has *head_timeout* seconds to arrive.
+    *budget* may close it for the others, and *parsing* lets its chunked bodies wait.  A head has
+    *head_timeout* seconds to arrive.
     """
 
     __slots__ = (
@@ -95,6 +97,10 @@
         "_auto_decompress",
         "_writing_paused_at",
         "_has_switched",
+        "_parsing",
+        "_is_chunked",
+        "_unparsed",
+        "_is_deferred",
     )
 
     def __init__(
@@ -102,6 +108,7 @@
         *arguments: object,
         request_id: Callable[[Mapping[str, str]], str],
         budget: ConnectionBudget,
+        parsing: ParsingBudget,
         head_timeout: float,
         **options: object,
     ) -> None:
@@ -115,6 +122,11 @@
         self._limit_queue()
         self._read_request_id = request_id
         self._budget = budget
+        self._parsing = parsing
+        self._is_chunked = False
+        # What of a chunked body waits until there is time to parse it.
+        self._unparsed = b""
+        self._is_deferred = False
         self._head_timeout = head_timeout
         self._head_check: asyncio.TimerHandle | None = None
         # Since when a head has been incomplete, when the latest body began, and when a part of it
@@ -221,7 +233,7 @@
         is_current = self._current_request is not None and (
             self._current_request.content is self._body
         )
-        is_paused = self._reading_paused or self._buffer_paused
+        is_paused = self._reading_paused or (self._buffer_paused and not self._is_deferred)
         if not is_current or not self._is_reading_body or is_paused:
             return None
         return Arrival(self._loop.time() - self._body_since, self._body.total_bytes)
@@ -319,6 +331,7 @@
     def _discard_parser(self) -> None:
         """Free what the parser holds of a request, none of which is taken any more."""
         self._takes_requests = False
+        self._unparsed = b""
         self._parser = self._create_parser()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -344,6 +357,39 @@
     def data_received(self, data: bytes) -> None:
         if not self._takes_requests:
             return
+        if self._is_deferred:
+            self._unparsed += data
+            return
+        if self._is_reading_body and self._is_chunked:
+            self._parse_chunks(data)
+            return
+        end = _end_of_chunked_head(data)
+        self._parse(data[:end])
+        if end < len(data):
+            self.data_received(data[end:])
+
+    def _parse_chunks(self, data: bytes) -> None:
+        """Parse a part of a chunked body, now or once there is time."""
+        if self._parsing.has_time:
+            with self._parsing.spend():
+                self._parse(data)
+            return
+        self._unparsed = data
+        self._is_deferred = True
+        self._pause_reading_for_buffer()
+        self._parsing.wait(self._parse_deferred)
+
+    def _parse_deferred(self) -> None:
+        data, self._unparsed = self._unparsed, b""
+        self._is_deferred = False
+        if self._caller_transport is None or not self._takes_requests:
+            return
+        with self._parsing.spend():
+            self._parse(data)
+        if not self._is_queue_full:
+            self._resume_reading_for_buffer()
+
+    def _parse(self, data: bytes) -> None:
         was_reading_body = self._is_reading_body
         self._discarded += len(data)
         requests_before = self._request_count
@@ -357,10 +403,12 @@
         if self._request_count != requests_before:
             self._line_ends = 0
             message, self._body = self._messages[-1]
-            if isinstance(message, _ErrInfo):
-                if was_reading_body and not body.is_eof():
-                    self._reject_body(body, _without_input(message))
-                    return
+            if not isinstance(message, _ErrInfo):
+                self._is_chunked = message.chunked
+            elif was_reading_body and not body.is_eof():
+                self._reject_body(body, _without_input(message))
+                return
+            else:
                 self._messages[-1] = _without_input(message), self._body
             self._body_since = self._loop.time()
         if was_reading_body:
@@ -430,10 +478,15 @@
             self._is_counted = bool(held)
             self._budget.hold(self, held)
 
+    @property
+    def _is_queue_full(self) -> bool:
+        """Whether no more is read until a request has been answered."""
+        is_large = bool(self._messages) and self._queued > MAX_QUEUED_BYTES
+        return is_large or len(self._messages) >= MAX_QUEUED_REQUESTS
+
     def _resume_reading_if_drained(self) -> None:
-        if self._queued > MAX_QUEUED_BYTES and self._messages:
-            return
-        super()._resume_reading_if_drained()
+        if not self._is_deferred and not self._is_queue_full:
+            super()._resume_reading_if_drained()
 
     def _await_head(self) -> None:
         """Reject the next request if its head, a part of which has arrived, isn't complete soon."""
@@ -575,6 +628,14 @@
         return response
 
 
+def _end_of_chunked_head(data: bytes) -> int:
+    """Return where the body begins if *data* begins with a head of a chunked one, else its end."""
+    end = data.find(HEAD_END) + len(HEAD_END)
+    if end < len(HEAD_END) or b"chunked" not in data[:end].lower():
+        return len(data)
+    return end
+
+
 def _without_input(error: _ErrInfo) -> _ErrInfo:
     """Return *error* without what the caller has sent, which its message and traceback hold."""
     error.exc.__traceback__ = None
@@ -599,6 +660,7 @@
         super().__init__(handler, **options)
         self._read_keepalive_timeout = keepalive_timeout
         self._read_head_timeout = head_timeout
+        self._parsing = ParsingBudget()
 
     def __call__(self) -> CallerProtocol:
         return CallerProtocol(
@@ -606,5 +668,6 @@
             loop=self._loop,
             keepalive_timeout=self._read_keepalive_timeout(),
             head_timeout=HEAD_TIMEOUT_RATIO * self._read_head_timeout(),
+            parsing=self._parsing,
             **self._kwargs,
         )
