Wait for the end of connections in their test, and sort its classes by subject

The count of protocols was checked 0.1 s after the last connection had ended. A busy machine may let the event loop run once in that time, so that tasks had not ended yet; the test now waits until the count is right, and fails after its guard, as strict as before. Bytes of another protocol, and malformed requests, have classes of their own. No change of the product but three doc strings.

--- a/src/fuchsiatrack/callers/protocol.py
+++ b/src/fuchsiatrack/callers/protocol.py
@@ -547,7 +547,7 @@
             self._waiter.set_result(None)
 
     def _free_requests(self) -> None:
-        """Drop what refers to this connection, which would stay until a garbage collection."""
+        """Drop references to this connection, which would keep it until a garbage collection."""
         self._free_body()
         self._current_request = None
         self._messages.clear()
@@ -629,7 +629,10 @@
 
 
 def _end_of_chunked_head(data: bytes) -> int:
-    """Return where the body begins if *data* begins with a head of a chunked one, else its end."""
+    """Return the end of the first head in *data* if its body is chunked, else the end of *data*.
+
+    What is behind such a head can wait until there is time to parse it.
+    """
     end = data.find(HEAD_END) + len(HEAD_END)
     if end < len(HEAD_END) or b"chunked" not in data[:end].lower():
         return len(data)
--- a/src/fuchsiatrack/routing/requestbody.py
+++ b/src/fuchsiatrack/routing/requestbody.py
@@ -35,9 +35,9 @@
 
     @property
     def failure(self) -> RequestError | None:
-        """The error that ended the reading, or None; a new one each time.
+        """The error that ended the reading, or None.
 
-        The traceback of one that were kept would refer to this body.
+        A new one each time: if it were kept, its traceback would refer to this body.
         """
         return RequestError(*self._failure) if self._failure is not None else None
 
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -1,4 +1,4 @@
-"""Memory of callers' connections that have ended."""
+"""Callers' connections that end, and the memory of those that have ended."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from fuchsiatrack.callers.protocol import CallerProtocol
 
 HOST = "127.0.0.1"
-# A guard for tests that would hang; nothing is measured against it.
+# A guard for tests that would hang, and for connections that are never freed.
 TIMEOUT_S = 30.0
 CALLERS = 5
 # Answered before its body has arrived.
@@ -94,14 +94,15 @@
             for writer in writers:
                 writer.transport.abort()
             async with asyncio.timeout(TIMEOUT_S):
-                while connections.count:
+                while connections.count or _count_protocols() != before:
                     await asyncio.sleep(0.01)
-            # Lets their tasks end.
-            await asyncio.sleep(0.1)
-            assert _count_protocols() == before
+
+
+class TestOtherProtocols:
+    """Callers that go on in a protocol that isn't spoken."""
 
     @pytest.mark.parametrize("body", [b"", b"xx"], ids=["no-body", "body"])
-    async def test_connection_ends_whose_caller_goes_on_in_another_protocol(
+    async def test_connection_ends_with_the_response(
         self, body: bytes, connections: CallerConnections, unused_tcp_port: int
     ):
         """Guards against bytes of another protocol that are kept, or parsed as requests."""
@@ -114,7 +115,11 @@
         assert head.startswith(b"HTTP/1.1 200 ")
         assert b"\r\nConnection: close\r\n" in head
 
-    async def test_response_to_a_malformed_request_repeats_nothing_of_it(
+
+class TestMalformedRequests:
+    """What callers get for bytes that are no request."""
+
+    async def test_response_repeats_nothing_of_the_request(
         self, connections: CallerConnections, unused_tcp_port: int
     ):
         reader, writer = await asyncio.open_connection(HOST, unused_tcp_port)
